--- a/corianderspar/assemble.py
+++ b/corianderspar/assemble.py
@@ -20,7 +20,7 @@
 from corianderspar import peers
 from corianderspar import placement
 from corianderspar import plain
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import rosters
 from corianderspar import settings
 
--- a/corianderspar/configuration.py
+++ b/corianderspar/configuration.py
@@ -10,7 +10,7 @@
 from corianderspar import kernel
 from corianderspar import membership
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import service_reader
 from corianderspar import shards
 from corianderspar import version_pull
--- a/corianderspar/fake_fleet.py
+++ b/corianderspar/fake_fleet.py
@@ -12,7 +12,7 @@
 from corianderspar import kernel
 from corianderspar import membership
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import shards
 
 REGION = 'r1'
--- a/corianderspar/fake_plain_fleet.py
+++ b/corianderspar/fake_plain_fleet.py
@@ -18,7 +18,7 @@
 from corianderspar import outcomes
 from corianderspar import peers
 from corianderspar import plain
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import retries
 
 POOL = 'desk'
--- a/corianderspar/fake_platform.py
+++ b/corianderspar/fake_platform.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from corianderspar import clock as clocks
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 LATENCY = 0.002
 HANG_SECONDS = 3600.0
--- a/corianderspar/local.py
+++ b/corianderspar/local.py
@@ -10,7 +10,7 @@
 from corianderspar import daemon
 from corianderspar import limits
 from corianderspar import local_demo
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import settings
 from corianderspar import standins
 
--- a/corianderspar/membership.py
+++ b/corianderspar/membership.py
@@ -6,7 +6,7 @@
 
 from corianderspar import kernel
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import rendezvous
 
 HEARTBEAT_SECONDS = 1.0
--- a/corianderspar/platform_http.py
+++ b/corianderspar/platform_http.py
@@ -9,7 +9,7 @@
 import httpx
 import msgspec
 
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 TIMEOUT_SECONDS = 2.0
 GRACE_SECONDS = 2.0
--- a/corianderspar/platform_server.py
+++ b/corianderspar/platform_server.py
@@ -8,7 +8,7 @@
 from litestar import status_codes
 import msgspec
 
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 
 def make_app(served: platform.PlatformClient) -> litestar.Litestar:
--- /dev/null
+++ b/corianderspar/router/__init__.py
@@ -0,0 +1,9 @@
+"""Routing of opaque requests to plain services and to split engines.
+
+The bodies of requests are not read: a prompt is known by its size, an
+answer is the upstream's own bytes. `daemon.Node` puts the parts together.
+"""
+
+from corianderspar.router.daemon import Node
+
+__all__ = ['Node']
--- /dev/null
+++ b/corianderspar/router/daemon.py
@@ -0,0 +1,208 @@
+"""One daemon of the router: an application on real sockets."""
+
+import asyncio
+import random
+import signal
+from typing import Any
+from typing import NamedTuple
+
+from corianderspar import channel
+from corianderspar import clock
+from corianderspar import kernel
+from corianderspar import logs
+from corianderspar import peers
+from corianderspar import server
+from corianderspar.router import beliefs
+from corianderspar.router import connections
+from corianderspar.router import engine_calls
+from corianderspar.router import fleet
+from corianderspar.router import front
+from corianderspar.router import log_writer
+from corianderspar.router import placement
+from corianderspar.router import plain_calls
+from corianderspar.router import quarantine
+from corianderspar.router import retries
+from corianderspar.router import store
+from corianderspar.router import telemetry
+from corianderspar.router import upstreams
+
+STILL_TAKING_SECONDS = 2.6  # after SIGTERM: two looks of the balancer and more
+LEFT_FOR_EXIT = 0.1  # of the grace, for closing what still runs
+SWEEP_SECONDS = 1.0  # between looks at idle connections
+
+
+class RouterSettings(NamedTuple):
+    """What one daemon needs to know.
+
+    Attributes
+    ----------
+    identity : Identity
+        The VM and where it stands.
+    callers, readiness, peers, metrics : str
+        Addresses to listen on, ip:port.
+    seeds : tuple of str
+        Addresses of daemons that may be alive.
+    proof_seconds : float
+        Oldest proof that a key is still valid.
+    grace_seconds : float
+        From SIGTERM until the process is killed.
+    retry_ratio, retry_slack, retry_window : float
+        As in `budget.RetryBudget`.
+    """
+
+    identity: kernel.Identity
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    seeds: tuple[str, ...]
+    proof_seconds: float
+    grace_seconds: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+
+
+class Outside(NamedTuple):
+    """What a daemon meets through its seams."""
+
+    store: store.StoreClient
+    calls: upstreams.UpstreamCalls
+    form: front.CallerFormat
+
+
+class Node:
+    """An application of the router with its servers.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Checked settings.
+    outside : Outside
+        The adapters.
+    pool : ConnectionPool
+        What the adapters call upstreams through.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        outside: Outside,
+        pool: connections.ConnectionPool,
+    ) -> None:
+        self.settings = settings
+        self._pool = pool
+        self.app = kernel.Application(
+            settings.identity, clock.SystemClock(), random.Random()
+        )
+        self._fleet = fleet.Fleet(settings.peers, list(settings.seeds))
+        self._beliefs = beliefs.Beliefs(outside.store)
+        self._front = front.Front(outside.form, settings.proof_seconds)
+        self._telemetry = telemetry.Telemetry()
+        for service in (
+            peers.Peers(channel.NngChannel(settings.peers)),
+            self._fleet,
+            self._beliefs,
+            placement.Placement(),
+            retries.Retries(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window,
+            ),
+            quarantine.Quarantine(),
+            self._telemetry,
+            engine_calls.EngineCalls(outside.calls),
+            plain_calls.PlainCalls(outside.calls),
+            self._front,
+        ):
+            self.app.add(service)
+        self._callers = server.HttpServer(
+            self._front, settings.callers, with_date=False
+        )
+        self._small = [
+            server.HttpServer(self._readiness, settings.readiness),
+            server.HttpServer(self._metrics, settings.metrics),
+        ]
+
+    async def start(self) -> None:
+        """Start all services, then listen."""
+        await self.app.start()
+        for small in self._small:
+            await small.start()
+        await self._callers.start()
+        self.app.spawn('pool', 'sweep', self._sweep())
+        self.app.events.add(
+            'daemon.started',
+            callers=self.settings.callers,
+            seeds=','.join(self.settings.seeds),
+        )
+
+    async def stop(self) -> None:
+        """Finish every request within the grace, then close."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + self.settings.grace_seconds * (1 - LEFT_FOR_EXIT)
+        self.app.events.add('daemon.stopping', running=self._front.running)
+        self._front.stopping = True
+        self._fleet.leaving = True
+        self._fleet.send_now()
+        # The balancer sends callers here until it has looked twice.
+        await asyncio.sleep(STILL_TAKING_SECONDS)
+        while self._front.running and loop.time() < ends:
+            await asyncio.sleep(0.05)
+        self.app.events.add('daemon.stopped', running=self._front.running)
+        await self._callers.abort()
+        for small in self._small:
+            await small.abort()
+        await self.app.stop()
+        self._pool.close()
+
+    def reload(self, seeds: tuple[str, ...]) -> None:
+        """Take new seeds."""
+        if list(seeds) != self._fleet.seeds:
+            self._fleet.seeds = list(seeds)
+            self.app.events.add('daemon.reloaded', seeds=','.join(seeds))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self._pool.sweep()
+            config = self._beliefs.configuration
+            if config is not None:
+                self._callers.set_idle_seconds(config.limits.idle_seconds)
+
+    async def _readiness(
+        self, _scope: dict[str, Any], _receive: Any, send: Any
+    ) -> None:
+        await _plain(send, 200 if self._front.is_ready else 503, b'')
+
+    async def _metrics(
+        self, _scope: dict[str, Any], _receive: Any, send: Any
+    ) -> None:
+        await _plain(send, 200, self._telemetry.page())
+
+
+async def _plain(send: Any, status: int, body: bytes) -> None:
+    headers = [
+        (b'content-type', b'text/plain; version=0.0.4'),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def serve(node: Node, writer: log_writer.LogWriter) -> None:
+    """Run a daemon until SIGTERM or SIGINT."""
+    ending = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ending.set)
+    writer.attach()
+    node.app.events.sinks.append(logs.log_event)
+    writing = asyncio.create_task(writer.run())
+    await node.start()
+    await ending.wait()
+    await node.stop()
+    writing.cancel()
+    writer.flush()
--- /dev/null
+++ b/corianderspar/router/engine_calls.py
@@ -0,0 +1,411 @@
+"""Requests of engines: room, prefill, decode, and the stream to the caller."""
+
+import asyncio
+from typing import NamedTuple
+
+from corianderspar import kernel
+from corianderspar.router import beliefs
+from corianderspar.router import connections
+from corianderspar.router import events
+from corianderspar.router import model
+from corianderspar.router import placement
+from corianderspar.router import poison
+from corianderspar.router import quarantine
+from corianderspar.router import retries
+from corianderspar.router import rooms
+from corianderspar.router import upstreams
+from corianderspar.router import work as works
+
+ROUNDS_MOST = 4  # of room, prefill and decode for one request
+PREFILL_SECONDS = 1.2  # queue of 0.3 s, 0.2 s of reading, and slow engines
+SILENT_SECONDS = 1.2  # between events before a stream goes on elsewhere
+RELEASE_SECONDS = 1.0  # for an engine to free a prompt
+
+
+class _Round(NamedTuple):
+    """How one round ended.
+
+    Attributes
+    ----------
+    is_done : bool
+        Whether the caller has its whole answer.
+    why : str
+        Otherwise, for the log and the caller.
+    failed : str
+        Instance that the next round leaves out; empty for none.
+    crashed : bool
+        Whether the engine broke off while it had the request.
+    """
+
+    is_done: bool
+    why: str = ''
+    failed: str = ''
+    crashed: bool = False
+
+
+class EngineCalls:
+    """The service ``engine_calls``.
+
+    Parameters
+    ----------
+    calls : UpstreamCalls
+        To the engines.
+    """
+
+    name = 'engine_calls'
+    requires: tuple[str, ...] = (
+        'beliefs',
+        'placement',
+        'quarantine',
+        'retries',
+    )
+
+    def __init__(self, calls: upstreams.UpstreamCalls) -> None:
+        self._calls = calls
+
+    async def start(self, app: kernel.Application) -> None:
+        """Find the parts it uses."""
+        self._app = app
+        self._beliefs = app.find('beliefs', beliefs.Beliefs)
+        self._placement = app.find('placement', placement.Placement)
+        self._quarantine = app.find('quarantine', quarantine.Quarantine)
+        self._retries = app.find('retries', retries.Retries)
+
+    async def stop(self) -> None:
+        """Nothing to hand on."""
+
+    async def answer(self, work: works.Work) -> None:
+        """Get the answer and pass it on as it comes.
+
+        Raises
+        ------
+        Refused
+            If there is none. Where the answer had begun, it is left
+            without its end.
+        """
+        request = work.request
+        mark = poison.fingerprint(request, work.account)
+        self._quarantine.check(work, mark)
+        self._retries.first(work.matched.service.name)
+        reader = events.EventReader(request.after_event)
+        excluded: tuple[str, ...] = ()
+        why = ''
+        for number in range(ROUNDS_MOST):
+            if number and not self._may_go_on(work, why):
+                break
+            room = await self._room(work, excluded)
+            if isinstance(room, rooms.Refused):
+                raise work.refused('no_room', room.why, room.wait)
+            try:
+                ended = await self._round(work, reader, room, number > 0)
+            finally:
+                self._placement.note(room, 'ended')
+            if ended.is_done:
+                self._quarantine.ended_well(mark)
+                return
+            why = ended.why
+            if ended.failed:
+                excluded = (*excluded, ended.failed)
+            if ended.crashed:
+                self._quarantine.crashed(work, mark)
+        raise work.refused('engines_failed', why)
+
+    def _may_go_on(self, work: works.Work, why: str) -> bool:
+        route = work.matched.route
+        if work.ran_on and route.repeat is not model.Repeat.RESUME:
+            return False
+        return work.ran_on < route.attempts
+
+    async def _room(
+        self, work: works.Work, excluded: tuple[str, ...]
+    ) -> placement.Room | rooms.Refused:
+        now = self._app.clock.monotonic()
+        sizes = work.request.sizes or model.Sizes(0, 0, 0)
+        work.stage = 'waiting for room'
+        room = await self._placement.acquire(
+            work.matched.service.name,
+            (sizes.prompt, sizes.expected),
+            work.priority,
+            work.arrived + work.matched.route.objective - now,
+            work.remaining(now),
+            excluded,
+        )
+        waited = self._app.clock.monotonic() - now
+        if isinstance(room, rooms.Refused):
+            self._app.events.add(
+                'request.no_room',
+                request=work.request.request_id,
+                why=room.why,
+                come_back=f'{room.wait:.2f}',
+                waited=f'{waited:.3f}',
+            )
+        else:
+            self._app.events.add(
+                'request.placed',
+                request=work.request.request_id,
+                prefill=room.placed.prefill or '-',
+                decode=room.placed.decode,
+                home=room.home,
+                tokens=room.tokens,
+                waited=f'{waited:.3f}',
+                store_age=f'{self._beliefs.age():.2f}',
+            )
+        return room
+
+    async def _round(
+        self,
+        work: works.Work,
+        reader: events.EventReader,
+        room: placement.Room,
+        is_extra: bool,
+    ) -> _Round:
+        by_instance = self._beliefs.upstreams_by_instance
+        decode = by_instance.get(room.placed.decode)
+        if decode is None:
+            return _Round(False, 'decode engine unknown', room.placed.decode)
+        handle: upstreams.Handle | None = None
+        if room.placed.prefill:
+            prefill = by_instance.get(room.placed.prefill)
+            if prefill is None:
+                return _Round(
+                    False, 'prefill engine unknown', room.placed.prefill
+                )
+            found = await self._prefill(work, room, prefill, is_extra)
+            if isinstance(found, _Round):
+                return found
+            handle = found
+        if is_extra and not self._extra(work):
+            self._release(handle)
+            return _Round(False, 'no budget for another send')
+        return await self._decode(work, reader, room, decode, handle)
+
+    async def _prefill(
+        self,
+        work: works.Work,
+        room: placement.Room,
+        engine: model.Upstream,
+        is_extra: bool,
+    ) -> upstreams.Handle | _Round:
+        if is_extra and not self._extra(work):
+            return _Round(False, 'no budget for another send')
+        work.stage = 'prefill'
+        work.upstream = engine.instance
+        began = self._app.clock.monotonic()
+        seconds = min(work.remaining(began), PREFILL_SECONDS)
+        try:
+            async with asyncio.timeout(max(seconds, 0.0)):
+                result = await self._calls.prefill(
+                    engine, work.request, self._passing(work, None)
+                )
+        except TimeoutError:
+            self._placement.note(room, 'silent', engine.instance)
+            self._log_send(work, engine, began, 'prefill', 'silent')
+            return _Round(False, 'prefill silent', engine.instance)
+        if result.is_error():
+            failure = result.error
+            if failure.fault is not upstreams.Fault.REFUSED:
+                self._placement.note(room, 'silent', engine.instance)
+            self._log_send(work, engine, began, 'prefill', failure.detail)
+            return _Round(False, failure.detail, engine.instance)
+        self._placement.note(room, 'read')
+        self._log_send(work, engine, began, 'prefill', 'ok')
+        return result.ok
+
+    async def _decode(
+        self,
+        work: works.Work,
+        reader: events.EventReader,
+        room: placement.Room,
+        engine: model.Upstream,
+        handle: upstreams.Handle | None,
+    ) -> _Round:
+        work.stage = 'decode'
+        work.upstream = engine.instance
+        work.sends += 1
+        began = self._app.clock.monotonic()
+        may_switch = (
+            work.matched.route.repeat is model.Repeat.RESUME
+            and work.ran_on + 1 < work.matched.route.attempts
+        )
+        limit = SILENT_SECONDS if may_switch else work.remaining(began)
+        # Counted before the send: a caller that leaves ends it anywhere.
+        work.ran_on += 1
+        is_taken = False
+        try:
+            async with asyncio.timeout(max(limit, 0.0)):
+                result = await self._calls.run(
+                    engine,
+                    work.request,
+                    self._passing(work, reader.last),
+                    handle,
+                )
+            is_taken = result.is_ok()
+        except TimeoutError:
+            self._placement.note(room, 'silent', engine.instance)
+            self._log_send(work, engine, began, 'decode', 'silent')
+            return _Round(False, 'decode silent', engine.instance)
+        finally:
+            if not is_taken:
+                self._release(handle)
+        if result.is_error():
+            return self._decode_failed(work, room, engine, result.error, began)
+        answer = result.ok
+        try:
+            if answer.status != 200 or not answer.is_genuine:
+                return await self._pass_failure(work, engine, answer, began)
+            return await self._relay(work, reader, room, answer, limit)
+        finally:
+            answer.close()
+
+    def _decode_failed(
+        self,
+        work: works.Work,
+        room: placement.Room,
+        engine: model.Upstream,
+        failure: upstreams.Failure,
+        began: float,
+    ) -> _Round:
+        self._log_send(work, engine, began, 'decode', failure.detail)
+        if failure.fault is not upstreams.Fault.BROKEN:
+            work.ran_on -= 1
+        if failure.fault is upstreams.Fault.REFUSED:
+            if failure.misplaced:
+                return _Round(False, failure.detail, engine.instance)
+            self._placement.note(room, 'full', engine.instance)
+            return _Round(False, failure.detail)
+        self._placement.note(room, 'silent', engine.instance)
+        crashed = failure.fault is upstreams.Fault.BROKEN
+        return _Round(False, failure.detail, engine.instance, crashed)
+
+    async def _pass_failure(
+        self,
+        work: works.Work,
+        engine: model.Upstream,
+        answer: upstreams.Answer,
+        began: float,
+    ) -> _Round:
+        """Pass on an engine's own failure, unless another may do better."""
+        self._log_send(work, engine, began, 'decode', str(answer.status))
+        why = f'status {answer.status}'
+        if work.exchange.status or not answer.is_genuine:
+            return _Round(False, why, engine.instance)
+        if self._may_go_on(work, why):
+            return _Round(False, why, engine.instance)
+        try:
+            body = b''.join([part async for part in answer.chunks()])
+        except connections.UpstreamError as error:
+            return _Round(False, error.why, engine.instance)
+        await work.exchange.answer(answer.status, answer.headers, body)
+        return _Round(True)
+
+    async def _relay(
+        self,
+        work: works.Work,
+        reader: events.EventReader,
+        room: placement.Room,
+        answer: upstreams.Answer,
+        limit: float,
+    ) -> _Round:
+        """Pass events on as they come."""
+        engine = room.placed.decode
+        began = self._app.clock.monotonic()
+        first = reader.last
+        work.stage = 'streaming'
+        chunks = answer.chunks()
+        why = ''
+        crashed = False
+        try:
+            while True:
+                async with asyncio.timeout(max(limit, 0.0)):
+                    part = await anext(chunks, None)
+                if part is None:
+                    break
+                pieces = reader.feed(part)
+                if not pieces:
+                    continue
+                if not work.exchange.status:
+                    await work.exchange.begin(200, answer.headers)
+                content = b''.join(piece.content for piece in pieces)
+                await work.exchange.write(content)
+        except connections.UpstreamError as error:
+            why = error.why
+            crashed = True
+        except events.StreamError as error:
+            why = str(error)
+        except TimeoutError:
+            why = f'no event for {limit:.1f} s'
+        if not why and reader.is_between_events and work.exchange.status:
+            await work.exchange.write(b'', more=False)
+            self._log_stream(work, engine, began, first, reader, 'whole')
+            return _Round(True)
+        why = why or 'ended within an event'
+        self._log_stream(work, engine, began, first, reader, why)
+        self._placement.note(room, 'silent', engine)
+        reader.start_anew()
+        return _Round(False, why, engine, crashed)
+
+    def _passing(
+        self, work: works.Work, after_event: int | None
+    ) -> upstreams.Passing:
+        now = self._app.clock.monotonic()
+        return upstreams.Passing(
+            work.account, work.remaining(now), work.priority, after_event
+        )
+
+    def _extra(self, work: works.Work) -> bool:
+        return self._retries.extra(
+            work.matched.service.name, work.request.request_id
+        )
+
+    def _release(self, handle: upstreams.Handle | None) -> None:
+        if handle is None:
+            return
+        self._app.spawn(self.name, 'release', self._free(handle))
+
+    async def _free(self, handle: upstreams.Handle) -> None:
+        try:
+            async with asyncio.timeout(RELEASE_SECONDS):
+                await self._calls.release(handle)
+        except TimeoutError:
+            # The engine drops it by itself soon after.
+            self._app.events.add(
+                'prefill.not_released', upstream=handle.upstream.instance
+            )
+
+    def _log_send(
+        self,
+        work: works.Work,
+        engine: model.Upstream,
+        began: float,
+        stage: str,
+        result: str,
+    ) -> None:
+        now = self._app.clock.monotonic()
+        self._app.events.add(
+            'request.sent',
+            request=work.request.request_id,
+            upstream=engine.instance,
+            stage=stage,
+            seconds=f'{now - began:.3f}',
+            result=result,
+        )
+
+    def _log_stream(
+        self,
+        work: works.Work,
+        engine: str,
+        began: float,
+        first: int | None,
+        reader: events.EventReader,
+        result: str,
+    ) -> None:
+        now = self._app.clock.monotonic()
+        self._app.events.add(
+            'request.streamed',
+            request=work.request.request_id,
+            upstream=engine,
+            after=first,
+            last=reader.last,
+            seconds=f'{now - began:.3f}',
+            result=result,
+        )
--- /dev/null
+++ b/corianderspar/router/fleet.py
@@ -0,0 +1,312 @@
+"""Which daemons are alive, found from seeds and by hearsay.
+
+There is no list of VMs: a daemon says hello to its seeds and learns from
+each heartbeat of some others. No promise rests on this view being whole.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import NamedTuple
+
+from corianderspar import kernel
+from corianderspar import peers
+
+BEAT_SECONDS = 0.4
+BEATS_PER_SECOND = 40  # over all peers: 0.4% of a core at 0.1 ms each
+SILENT_BEATS = 3.6  # three lost and a late one
+FORGET_SECONDS = 60.0  # a peer cut off for longer joins anew
+NAMED_PER_BEAT = 8  # members named in a heartbeat; it must stay small
+REDIAL_SECONDS = 2.0  # between new connections to one silent peer
+MEMBERS_MOST = 1024
+SEED = 'seed:'
+
+
+class Named(NamedTuple):
+    """Where a daemon is reached by its peers."""
+
+    vm: str
+    address: str
+
+
+class Beat(NamedTuple):
+    """What a daemon tells each peer.
+
+    Attributes
+    ----------
+    address, data_centre : str
+        Where the sender stands.
+    interval : float
+        Seconds until its next beat.
+    leaving : bool
+        Whether it is draining.
+    hears_you : bool
+        Whether it heard the receiver lately.
+    others : tuple of Named
+        Some members that it hears.
+    sections : dict of str to bytes
+        What other services have to say, by their names.
+    """
+
+    address: str
+    data_centre: str
+    interval: float
+    leaving: bool
+    hears_you: bool
+    others: tuple[Named, ...]
+    sections: dict[str, bytes]
+
+
+class Member(NamedTuple):
+    """Another daemon.
+
+    Attributes
+    ----------
+    vm, address, data_centre, incarnation : str
+        Who and where it is; no incarnation before it was heard.
+    heard : float
+        Monotonic seconds of its last beat; -inf for none.
+    since : float
+        Monotonic seconds at which it became known.
+    interval : float
+        Seconds between its beats.
+    leaving : bool
+        Whether it said that it is draining.
+    dialled : float
+        Monotonic seconds of the last new connection to it.
+    """
+
+    vm: str
+    address: str
+    data_centre: str
+    incarnation: str
+    heard: float
+    since: float
+    interval: float
+    leaving: bool
+    dialled: float
+
+
+Provide = Callable[[str], bytes | None]
+Accept = Callable[[peers.Sender, bytes], None]
+
+
+class Fleet:
+    """The service ``fleet``.
+
+    Parameters
+    ----------
+    address : str
+        This daemon's own for peers, ip:port.
+    seeds : list of str
+        Addresses of daemons that may be alive.
+
+    Attributes
+    ----------
+    seeds : list of str
+        May be changed while the service runs.
+    on_ended : list of callable
+        Hooks that get each incarnation that is gone for good.
+    """
+
+    name = 'fleet'
+    requires: tuple[str, ...] = ('peers',)
+
+    def __init__(self, address: str, seeds: list[str]) -> None:
+        self.seeds = seeds
+        self.leaving = False
+        self.on_ended: list[Callable[[str], None]] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._address = address
+        self._members_by_vm: dict[str, Member] = {}
+        self._provide_by_section: dict[str, Provide] = {}
+        self._accept_by_section: dict[str, Accept] = {}
+
+    async def start(self, app: kernel.Application) -> None:
+        """Begin to send and hear heartbeats."""
+        self._app = app
+        self._peers = app.find('peers', peers.Peers)
+        self._peers.handle('beat', Beat, self._hear)
+        app.spawn(self.name, 'beat', self._run())
+
+    async def stop(self) -> None:
+        """Tell the peers that this daemon leaves."""
+        self.leaving = True
+        self.send_now()
+
+    def section(self, name: str, provide: Provide, accept: Accept) -> None:
+        """Add a section to heartbeats, as `membership.Membership` does."""
+        self._provide_by_section[name] = provide
+        self._accept_by_section[name] = accept
+
+    def members(self) -> dict[str, Member]:
+        """Return the other daemons by VM name."""
+        return self._members_by_vm
+
+    def is_heard(self, vm: str) -> bool:
+        """Return whether a peer was heard lately."""
+        member = self._members_by_vm.get(vm)
+        if member is None:
+            return False
+        silence = self._app.clock.monotonic() - member.heard
+        return silence < SILENT_BEATS * max(member.interval, self._interval())
+
+    def live(self) -> list[str]:
+        """Return all VMs that may be homes, this one included; sorted."""
+        names = [
+            member.vm
+            for member in self._members_by_vm.values()
+            if not member.leaving and self.is_heard(member.vm)
+        ]
+        if not self.leaving:
+            names.append(self._app.identity.vm)
+        return sorted(names)
+
+    def heard_share(self) -> float:
+        """Return the share of the known daemons that are heard, 0 to 1."""
+        known = [m for m in self._members_by_vm.values() if not m.leaving]
+        heard = sum(self.is_heard(member.vm) for member in known)
+        return (heard + 1) / (len(known) + 1)
+
+    def size(self) -> int:
+        """Return how many daemons are known, this one included."""
+        return len(self._members_by_vm) + 1
+
+    def send_now(self) -> None:
+        """Send a beat to every known daemon and unheard seed."""
+        for vm in list(self._members_by_vm):
+            self._peers.tell(vm, self._beat(vm))
+        known = {m.address for m in self._members_by_vm.values()}
+        for address in self.seeds:
+            if address != self._address and address not in known:
+                self._peers.connect(SEED + address, address)
+                self._peers.tell(SEED + address, self._beat(''))
+            else:
+                self._peers.disconnect(SEED + address)
+
+    def _interval(self) -> float:
+        return max(BEAT_SECONDS, len(self._members_by_vm) / BEATS_PER_SECOND)
+
+    async def _run(self) -> None:
+        while True:
+            self._forget()
+            self._redial()
+            self.send_now()
+            await self._app.clock.sleep(self._interval())
+
+    def _beat(self, vm: str) -> Beat:
+        heard = [
+            Named(member.vm, member.address)
+            for member in self._members_by_vm.values()
+            if member.vm != vm and self.is_heard(member.vm)
+        ]
+        if len(heard) > NAMED_PER_BEAT:
+            heard = self._app.rng.sample(heard, NAMED_PER_BEAT)
+        sections = {}
+        for name, provide in self._provide_by_section.items():
+            content = provide(vm)
+            if content is not None:
+                sections[name] = content
+        return Beat(
+            self._address,
+            self._app.identity.data_centre,
+            self._interval(),
+            self.leaving,
+            self.is_heard(vm),
+            tuple(heard),
+            sections,
+        )
+
+    async def _hear(self, sender: peers.Sender, beat: Beat) -> None:
+        if sender.vm == self._app.identity.vm:
+            return
+        known = self._members_by_vm.get(sender.vm)
+        if known is None and len(self._members_by_vm) >= MEMBERS_MOST:
+            self.counts['too_many'] += 1
+            return
+        now = self._app.clock.monotonic()
+        if known is not None and known.address != beat.address:
+            self._peers.disconnect(sender.vm)
+        is_new = known is None or known.incarnation != sender.incarnation
+        if known is not None and known.incarnation and is_new:
+            self._end(known.incarnation)
+        was_heard = self.is_heard(sender.vm)
+        self._members_by_vm[sender.vm] = Member(
+            sender.vm,
+            beat.address,
+            beat.data_centre,
+            sender.incarnation,
+            now,
+            known.since if known else now,
+            beat.interval,
+            beat.leaving,
+            known.dialled if known else now,
+        )
+        self._peers.connect(sender.vm, beat.address)
+        if is_new or not was_heard:
+            self._app.events.add(
+                'fleet.heard',
+                peer=sender.vm,
+                incarnation=sender.incarnation,
+                data_centre=beat.data_centre,
+            )
+        if is_new:
+            # A newcomer should not wait a whole interval to hear of us.
+            self._peers.tell(sender.vm, self._beat(sender.vm))
+        if not beat.hears_you and not is_new:
+            self._dial_again(sender.vm, now)
+        for other in beat.others:
+            self._learn(other, now)
+        for name, content in beat.sections.items():
+            accept = self._accept_by_section.get(name)
+            if accept is not None:
+                accept(sender, content)
+
+    def _learn(self, other: Named, now: float) -> None:
+        if (
+            other.vm in self._members_by_vm
+            or other.vm == self._app.identity.vm
+            or len(self._members_by_vm) >= MEMBERS_MOST
+        ):
+            return
+        self._members_by_vm[other.vm] = Member(
+            other.vm,
+            other.address,
+            '',
+            '',
+            float('-inf'),
+            now,
+            BEAT_SECONDS,
+            False,
+            now,
+        )
+        self._peers.connect(other.vm, other.address)
+        self._peers.tell(other.vm, self._beat(other.vm))
+
+    def _redial(self) -> None:
+        now = self._app.clock.monotonic()
+        for member in list(self._members_by_vm.values()):
+            if not self.is_heard(member.vm):
+                self._dial_again(member.vm, now)
+
+    def _dial_again(self, vm: str, now: float) -> None:
+        """Open a new connection, for the old one may be silent for good."""
+        member = self._members_by_vm[vm]
+        if now - member.dialled < REDIAL_SECONDS:
+            return
+        self._members_by_vm[vm] = member._replace(dialled=now)
+        self._peers.disconnect(vm)
+        self._peers.connect(vm, member.address)
+
+    def _forget(self) -> None:
+        now = self._app.clock.monotonic()
+        for member in list(self._members_by_vm.values()):
+            last = max(member.heard, member.since)
+            if now - last > FORGET_SECONDS:
+                del self._members_by_vm[member.vm]
+                self._peers.disconnect(member.vm)
+                self._end(member.incarnation)
+                self._app.events.add('fleet.forgotten', peer=member.vm)
+
+    def _end(self, incarnation: str) -> None:
+        for hook in self.on_ended:
+            hook(incarnation)
--- /dev/null
+++ b/corianderspar/router/placement.py
@@ -0,0 +1,418 @@
+"""Room at engines, asked of the home of their service.
+
+The home of a service is found by rendezvous hashing over the daemons that
+are heard. Two daemons may both believe that they are home, and a home may
+die: then room is given twice or not at all, and engines that are full
+refuse. Nothing else rests on it.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+import msgspec
+
+from corianderspar import kernel
+from corianderspar import peers
+from corianderspar import rendezvous
+from corianderspar.router import beliefs
+from corianderspar.router import fleet
+from corianderspar.router import rooms
+
+ANSWER_SECONDS = 0.15  # for a home to say that it heard; 50 times the way
+PUMP_SECONDS = 0.05  # between looks at requests whose time runs out
+LEASE_SECONDS = 30.0  # no request lasts longer
+SILENT_SECONDS = 0.5  # a home that did not answer is not asked again
+
+
+class WantRoom(NamedTuple):
+    """Asks the home for engines.
+
+    Attributes
+    ----------
+    service, lease : str
+        For what, and the identifier of this request for room.
+    prompt, output, rank : int
+        As in `rooms.Ask`.
+    objective, deadline : float
+        Seconds from now.
+    data_centre : str
+        Of the asker.
+    excluded : tuple of str
+        Instances that failed this request.
+    """
+
+    service: str
+    lease: str
+    prompt: int
+    output: int
+    rank: int
+    objective: float
+    deadline: float
+    data_centre: str
+    excluded: tuple[str, ...]
+
+
+class RoomAnswer(NamedTuple):
+    """What the home says; ``kind`` is placed, refused or waiting."""
+
+    lease: str
+    kind: str
+    prefill: str = ''
+    decode: str = ''
+    wait: float = 0.0
+    why: str = ''
+
+
+class RoomNews(NamedTuple):
+    """What became of a lease.
+
+    Attributes
+    ----------
+    service, lease : str
+        Which.
+    event : str
+        ``read``, ``ended``, ``full`` (the decode engine refused) or
+        ``silent`` (an engine did not answer).
+    instance : str
+        The engine that was full or silent.
+    """
+
+    service: str
+    lease: str
+    event: str
+    instance: str = ''
+
+
+class Room(NamedTuple):
+    """Room that this daemon uses.
+
+    Attributes
+    ----------
+    service, lease, home : str
+        Which, and the VM that gave it.
+    giver : str
+        Incarnation of that VM; a later one knows nothing of this room.
+    placed : Placed
+        The engines.
+    tokens : int
+        Decode memory.
+    """
+
+    service: str
+    lease: str
+    home: str
+    giver: str
+    placed: rooms.Placed
+    tokens: int
+
+
+class Placement:
+    """The service ``placement``: asks homes, and is a home."""
+
+    name = 'placement'
+    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs')
+
+    def __init__(self) -> None:
+        self.held_by_lease: dict[str, Room] = {}
+        self._rooms_by_service: dict[str, rooms.Rooms] = {}
+        self._owners_by_lease: dict[str, str] = {}
+        self._answers_by_lease: dict[str, asyncio.Future[RoomAnswer]] = {}
+        self._silent_until: dict[str, float] = {}
+        self._sequence = 0
+
+    async def start(self, app: kernel.Application) -> None:
+        """Begin to answer and to tell what this daemon runs."""
+        self._app = app
+        self._fleet = app.find('fleet', fleet.Fleet)
+        self._beliefs = app.find('beliefs', beliefs.Beliefs)
+        self._peers = app.find('peers', peers.Peers)
+        self._peers.handle('want_room', WantRoom, self._answer)
+        self._peers.handle('room', RoomAnswer, self._hear_answer)
+        self._peers.handle('room_news', RoomNews, self._hear_news)
+        self._fleet.section('rooms', self._provide, self._accept)
+        self._fleet.on_ended.append(self._forget)
+        self._beliefs.on_upstreams.append(self._refresh)
+        app.spawn(self.name, 'pump', self._run())
+
+    async def stop(self) -> None:
+        """Nothing to hand on."""
+
+    async def acquire(
+        self,
+        service: str,
+        sizes: tuple[int, int],
+        rank: int,
+        objective: float,
+        deadline: float,
+        excluded: tuple[str, ...] = (),
+    ) -> Room | rooms.Refused:
+        """Get engines for a request; waits as long as the home says.
+
+        Parameters
+        ----------
+        service : str
+            Whose engines.
+        sizes : (int, int)
+            Tokens of the prompt, and of the answer as predicted.
+        rank : int
+            0 first.
+        objective, deadline : float
+            Seconds from now.
+        excluded : tuple of str
+            Instances that failed this request.
+        """
+        self._sequence += 1
+        lease = f'{self._app.incarnation}/{self._sequence}'
+        want = WantRoom(
+            service,
+            lease,
+            sizes[0],
+            sizes[1],
+            rank,
+            objective,
+            deadline,
+            self._app.identity.data_centre,
+            excluded,
+        )
+        home = self._home(service)
+        waiting: asyncio.Future[RoomAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._answers_by_lease[lease] = waiting
+        try:
+            found = await self._ask(home, want, waiting, deadline)
+        except BaseException:
+            self._tell(home, RoomNews(service, lease, 'ended'))
+            raise
+        finally:
+            del self._answers_by_lease[lease]
+        if found.kind != 'placed':
+            return rooms.Refused(found.wait, found.why)
+        room = Room(
+            service,
+            lease,
+            home,
+            self._incarnation(home),
+            rooms.Placed(found.prefill, found.decode),
+            sum(sizes),
+        )
+        self.held_by_lease[lease] = room
+        return room
+
+    def note(self, room: Room, event: str, instance: str = '') -> None:
+        """Tell the home what became of a lease; see `RoomNews`."""
+        if event == 'ended':
+            self.held_by_lease.pop(room.lease, None)
+        self._tell(
+            room.home, RoomNews(room.service, room.lease, event, instance)
+        )
+
+    def scheduler(self, service: str) -> rooms.Rooms | None:
+        """Return this daemon's scheduler of a service."""
+        known = self._rooms_by_service.get(service)
+        config = self._beliefs.configuration
+        found = config.services_by_name.get(service) if config else None
+        if found is None or found.engine is None:
+            return known
+        if known is not None:
+            known.limits = found.engine
+            return known
+        made = rooms.Rooms(found.engine)
+        made.set_engines(self._beliefs.upstreams(service))
+        self._rooms_by_service[service] = made
+        return made
+
+    def _incarnation(self, vm: str) -> str:
+        if vm == self._app.identity.vm:
+            return str(self._app.incarnation)
+        member = self._fleet.members().get(vm)
+        return member.incarnation if member else ''
+
+    def _home(self, service: str) -> str:
+        now = self._app.clock.monotonic()
+        live = [
+            vm
+            for vm in self._fleet.live()
+            if self._silent_until.get(vm, 0.0) <= now
+        ]
+        own = self._app.identity.vm
+        return rendezvous.home(service, live) or own
+
+    async def _ask(
+        self,
+        home: str,
+        want: WantRoom,
+        waiting: asyncio.Future[RoomAnswer],
+        deadline: float,
+    ) -> RoomAnswer:
+        own = self._app.identity.vm
+        if home == own:
+            answer = self._decide(want, str(self._app.incarnation), own)
+        else:
+            reply = await self._peers.ask(home, want, ANSWER_SECONDS)
+            if reply.is_error():
+                # It may still have given room, which it frees on this news.
+                now = self._app.clock.monotonic()
+                self._silent_until[home] = now + SILENT_SECONDS
+                self._app.events.add(
+                    'placement.home_silent',
+                    home=home,
+                    service=want.service,
+                    why=reply.error.code,
+                )
+                self._tell(home, RoomNews(want.service, want.lease, 'ended'))
+                home = own
+                answer = self._decide(want, str(self._app.incarnation), own)
+            else:
+                answer = reply.ok
+        if answer.kind != 'waiting':
+            return answer
+        try:
+            async with asyncio.timeout(deadline):
+                return await waiting
+        except TimeoutError:
+            self._tell(home, RoomNews(want.service, want.lease, 'ended'))
+            return RoomAnswer(want.lease, 'refused', '', '', 1.0, 'no word')
+
+    def _tell(self, home: str, news: RoomNews) -> None:
+        if home == self._app.identity.vm:
+            self._take_news(news)
+        else:
+            self._peers.tell(home, news)
+
+    async def _answer(
+        self, sender: peers.Sender, want: WantRoom
+    ) -> RoomAnswer:
+        return self._decide(want, sender.incarnation, sender.vm)
+
+    def _decide(self, want: WantRoom, owner: str, vm: str) -> RoomAnswer:
+        scheduler = self.scheduler(want.service)
+        if scheduler is None:
+            return RoomAnswer(
+                want.lease, 'refused', '', '', 1.0, 'service unknown at home'
+            )
+        now = self._app.clock.monotonic()
+        ask = rooms.Ask(
+            want.lease,
+            owner,
+            want.prompt,
+            want.output,
+            want.rank,
+            now,
+            now + want.objective,
+            now + want.deadline,
+            want.data_centre,
+            want.excluded,
+        )
+        decision = scheduler.submit(ask, now)
+        if decision is None:
+            self._owners_by_lease[want.lease] = vm
+            return RoomAnswer(want.lease, 'waiting')
+        return _say(want.lease, decision)
+
+    async def _hear_answer(
+        self, _sender: peers.Sender, answer: RoomAnswer
+    ) -> None:
+        self._take_answer(answer)
+
+    def _take_answer(self, answer: RoomAnswer) -> None:
+        waiting = self._answers_by_lease.get(answer.lease)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    async def _hear_news(
+        self, _sender: peers.Sender, news: RoomNews
+    ) -> None:
+        self._take_news(news)
+
+    def _take_news(self, news: RoomNews) -> None:
+        scheduler = self.scheduler(news.service)
+        if scheduler is None:
+            return
+        now = self._app.clock.monotonic()
+        if news.event == 'read':
+            scheduler.note_read(news.lease, now)
+        elif news.event == 'ended':
+            scheduler.release(news.lease, now)
+            self._owners_by_lease.pop(news.lease, None)
+        elif news.event == 'full':
+            scheduler.avoid(news.instance, now, rooms.FULL_SECONDS)
+        elif news.event == 'silent':
+            scheduler.avoid(news.instance, now, rooms.SUSPECT_SECONDS)
+        self._pump(scheduler, now)
+
+    def _pump(self, scheduler: rooms.Rooms, now: float) -> None:
+        for ask, decision in scheduler.pump(now):
+            answer = _say(ask.lease, decision)
+            vm = self._owners_by_lease.pop(ask.lease, '')
+            if vm == self._app.identity.vm:
+                self._take_answer(answer)
+            elif vm:
+                self._peers.tell(vm, answer)
+
+    async def _run(self) -> None:
+        while True:
+            await self._app.clock.sleep(PUMP_SECONDS)
+            now = self._app.clock.monotonic()
+            for scheduler in self._rooms_by_service.values():
+                self._expire(scheduler, now)
+                if scheduler.waiting():
+                    self._pump(scheduler, now)
+
+    def _expire(self, scheduler: rooms.Rooms, now: float) -> None:
+        due = [
+            held.ask.lease
+            for held in scheduler.leases_by_id.values()
+            if held.since < now - LEASE_SECONDS
+        ]
+        for lease in due:
+            scheduler.release(lease, now)
+
+    def _refresh(self) -> None:
+        now = self._app.clock.monotonic()
+        for service, scheduler in self._rooms_by_service.items():
+            scheduler.set_engines(self._beliefs.upstreams(service))
+            self._pump(scheduler, now)
+
+    def _forget(self, incarnation: str) -> None:
+        for scheduler in self._rooms_by_service.values():
+            scheduler.forget(incarnation)
+
+    def _provide(self, vm: str) -> bytes | None:
+        """Tell what this daemon runs under leases of other homes than vm."""
+        giver = self._incarnation(vm)
+        loads: dict[str, dict[str, rooms.Load]] = {}
+        for room in self.held_by_lease.values():
+            if room.giver == giver:
+                continue
+            by_engine = loads.setdefault(room.service, {})
+            known = by_engine.get(room.placed.decode, rooms.Load(0, 0))
+            by_engine[room.placed.decode] = rooms.Load(
+                known.tokens + room.tokens, known.requests + 1
+            )
+        return msgspec.msgpack.encode(loads)
+
+    def _accept(self, sender: peers.Sender, content: bytes) -> None:
+        try:
+            loads = _LOADS.decode(content)
+        except msgspec.MsgspecError as error:
+            self._app.events.add('peer.unreadable', peer=sender.vm, why=error)
+            return
+        for service, by_engine in loads.items():
+            scheduler = self.scheduler(service)
+            if scheduler is not None:
+                scheduler.set_foreign(sender.incarnation, by_engine)
+        for service, scheduler in self._rooms_by_service.items():
+            if service not in loads:
+                scheduler.set_foreign(sender.incarnation, {})
+
+
+_LOADS = msgspec.msgpack.Decoder(dict[str, dict[str, rooms.Load]])
+
+
+def _say(lease: str, decision: rooms.Decision) -> RoomAnswer:
+    if isinstance(decision, rooms.Placed):
+        return RoomAnswer(lease, 'placed', decision.prefill, decision.decode)
+    return RoomAnswer(
+        lease, 'refused', '', '', decision.wait, decision.why
+    )
--- /dev/null
+++ b/corianderspar/router/plain_calls.py
@@ -0,0 +1,180 @@
+"""Requests of plain services: sent, and sent once more where allowed."""
+
+import asyncio
+from typing import NamedTuple
+
+from expression import Result
+
+from corianderspar import http_io
+from corianderspar import kernel
+from corianderspar.router import beliefs
+from corianderspar.router import connections
+from corianderspar.router import model
+from corianderspar.router import retries
+from corianderspar.router import selection
+from corianderspar.router import upstreams
+from corianderspar.router import work as works
+
+SENDS_MOST = 3  # of one request, refused ones included
+TRY_SECONDS = 0.7  # of a repeatable request before another upstream is tried
+LAST_TRY_SECONDS = 0.1  # less than this left: no further try
+
+
+class _Whole(NamedTuple):
+    """An answer that came whole."""
+
+    status: int
+    headers: http_io.Headers
+    body: bytes
+
+
+class PlainCalls:
+    """The service ``plain_calls``.
+
+    Parameters
+    ----------
+    calls : UpstreamCalls
+        To the upstreams.
+    """
+
+    name = 'plain_calls'
+    requires: tuple[str, ...] = ('beliefs', 'retries')
+
+    def __init__(self, calls: upstreams.UpstreamCalls) -> None:
+        self._calls = calls
+
+    async def start(self, app: kernel.Application) -> None:
+        """Find the parts it uses."""
+        self._app = app
+        self._beliefs = app.find('beliefs', beliefs.Beliefs)
+        self._retries = app.find('retries', retries.Retries)
+        self._selection = selection.Selection(app.identity.data_centre)
+        self._beliefs.on_upstreams.append(self._refresh)
+
+    async def stop(self) -> None:
+        """Nothing to hand on."""
+
+    async def answer(self, work: works.Work) -> None:
+        """Get the answer and pass it on.
+
+        Raises
+        ------
+        Refused
+            If there is none.
+        """
+        service = work.matched.service.name
+        self._retries.first(service)
+        excluded: list[str] = []
+        kept: _Whole | None = None
+        why = 'no upstream'
+        while work.sends < SENDS_MOST:
+            upstream = self._selection.choose(
+                self._beliefs.upstreams(service),
+                excluded,
+                self._app.clock.monotonic(),
+            )
+            if upstream is None:
+                break
+            if work.sends and not self._may_send_again(work, service):
+                break
+            excluded.append(upstream.instance)
+            result = await self._send(work, upstream)
+            if result.is_ok():
+                kept = result.ok
+                if kept.status < 500:
+                    break
+                why = f'status {kept.status}'
+            else:
+                why = result.error.detail
+                if result.error.fault is upstreams.Fault.BROKEN:
+                    kept = None
+        if kept is None:
+            raise work.refused('upstream_failed', why)
+        await work.exchange.answer(kept.status, kept.headers, kept.body)
+
+    def _may_send_again(self, work: works.Work, service: str) -> bool:
+        route = work.matched.route
+        if work.ran_on and route.repeat is not model.Repeat.FREELY:
+            return False
+        if work.ran_on >= route.attempts:
+            return False
+        now = self._app.clock.monotonic()
+        if work.remaining(now) < LAST_TRY_SECONDS:
+            return False
+        return self._retries.extra(service, work.request.request_id)
+
+    async def _send(
+        self, work: works.Work, upstream: model.Upstream
+    ) -> Result[_Whole, upstreams.Failure]:
+        began = self._app.clock.monotonic()
+        seconds = work.remaining(began)
+        if (
+            work.matched.route.repeat is model.Repeat.FREELY
+            and work.ran_on + 1 < work.matched.route.attempts
+        ):
+            seconds = min(seconds, TRY_SECONDS)
+        work.sends += 1
+        work.upstream = upstream.instance
+        work.stage = 'sent'
+        # Counted before the send: a caller that leaves ends it anywhere.
+        work.ran_on += 1
+        self._selection.began(upstream)
+        ok = False
+        try:
+            async with asyncio.timeout(max(seconds, 0.0)):
+                result = await self._call(work, upstream, seconds)
+            ok = result.is_ok() and result.ok.status < 500
+        except TimeoutError:
+            result = Result.Error(
+                upstreams.Failure(
+                    upstreams.Fault.BROKEN, f'silent for {seconds:.2f} s'
+                )
+            )
+        finally:
+            now = self._app.clock.monotonic()
+            self._selection.ended(upstream, now - began, ok, now)
+        fault = result.error.fault if result.is_error() else None
+        if fault in (upstreams.Fault.NOT_SENT, upstreams.Fault.REFUSED):
+            work.ran_on -= 1
+        if fault is upstreams.Fault.NOT_SENT:
+            self._selection.unreachable(upstream, now)
+        self._app.events.add(
+            'request.sent',
+            request=work.request.request_id,
+            upstream=upstream.instance,
+            send=work.sends,
+            seconds=f'{now - began:.3f}',
+            result=result.ok.status if fault is None else fault.value,
+            why='' if fault is None else result.error.detail,
+        )
+        return result
+
+    async def _call(
+        self, work: works.Work, upstream: model.Upstream, seconds: float
+    ) -> Result[_Whole, upstreams.Failure]:
+        passing = upstreams.Passing(work.account, seconds)
+        begun = await self._calls.run(upstream, work.request, passing)
+        if begun.is_error():
+            return Result.Error(begun.error)
+        answer = begun.ok
+        try:
+            parts = [part async for part in answer.chunks()]
+        except connections.UpstreamError as error:
+            return Result.Error(
+                upstreams.Failure(upstreams.Fault.BROKEN, error.why)
+            )
+        finally:
+            answer.close()
+        if not answer.is_genuine:
+            return Result.Error(
+                upstreams.Failure(
+                    upstreams.Fault.BROKEN,
+                    f'unsigned answer {answer.status}',
+                )
+            )
+        return Result.Ok(
+            _Whole(answer.status, answer.headers, b''.join(parts))
+        )
+
+    def _refresh(self) -> None:
+        self._selection.keep(set(self._beliefs.upstreams_by_instance))
--- /dev/null
+++ b/corianderspar/router/quarantine.py
@@ -0,0 +1,73 @@
+"""The service that keeps requests away that crash upstreams."""
+
+import msgspec
+
+from corianderspar import kernel
+from corianderspar import peers
+from corianderspar import problems
+from corianderspar.router import fleet
+from corianderspar.router import poison
+from corianderspar.router import work as works
+
+
+class Quarantine:
+    """The service ``quarantine``: counts of crashes, told to peers."""
+
+    name = 'quarantine'
+    requires: tuple[str, ...] = ('fleet',)
+
+    def __init__(self) -> None:
+        self._poison = poison.Poison()
+
+    async def start(self, app: kernel.Application) -> None:
+        """Begin to tell and hear counts."""
+        self._app = app
+        view = app.find('fleet', fleet.Fleet)
+        view.section('poison', self._provide, self._accept)
+        view.on_ended.append(self._poison.forget)
+
+    async def stop(self) -> None:
+        """Nothing to hand on."""
+
+    def check(self, work: works.Work, mark: str) -> None:
+        """Refuse a request that was present at too many crashes.
+
+        Raises
+        ------
+        Refused
+            With no time to come back: it would crash the next one.
+        """
+        count = self._poison.crashes(mark, self._app.clock.monotonic())
+        if count >= poison.CRASHES_MOST:
+            raise works.Refused(
+                problems.Problem(
+                    'quarantined', 503, 'no', f'present at {count} crashes'
+                )
+            )
+
+    def crashed(self, work: works.Work, mark: str) -> None:
+        """Take note that a request's upstream broke off."""
+        count = self._poison.crashed(mark, self._app.clock.monotonic())
+        self._app.events.add(
+            'request.at_crash',
+            request=work.request.request_id,
+            mark=mark,
+            count=count,
+            upstream=work.upstream,
+        )
+
+    def ended_well(self, mark: str) -> None:
+        """Take note that a request's upstream survived it."""
+        self._poison.ended_well(mark)
+
+    def _provide(self, _vm: str) -> bytes | None:
+        counts = self._poison.tell(self._app.clock.monotonic())
+        return msgspec.msgpack.encode(counts)
+
+    def _accept(self, sender: peers.Sender, content: bytes) -> None:
+        try:
+            counts = msgspec.msgpack.decode(content, type=dict[str, int])
+        except msgspec.MsgspecError as error:
+            self._app.events.add('peer.unreadable', peer=sender.vm, why=error)
+            return
+        self._poison.hear(sender.incarnation, counts)
--- /dev/null
+++ b/corianderspar/router/rooms.py
@@ -0,0 +1,364 @@
+"""Which engines a request gets, and when: the scheduler of one service.
+
+Load it answers: requests for engines arrive in clumps, at up to two and a
+half times what decode memory carries, while prefill has room. A prompt that
+is read before its decode room is free is read in vain, and a request that
+is placed too densely is preempted and read again.
+
+The home of a service keeps a ledger of decode memory. A request gets decode
+room and a prefill engine in one step, so that room waits only while the
+prompt is read. Those that can still meet their objective go first, newest
+deadlines last; late ones fill what is left below a reserve, since they are
+worth little and would hold the room that the next clump needs. What would
+wait for longer than it is worth is refused as it arrives, with the time at
+which the backlog is expected to be gone.
+"""
+
+import collections
+from typing import NamedTuple
+
+from corianderspar.router import model
+
+LATE_SHARE = 0.8  # of decode memory, for requests past their objective
+FINISH_SHARE = 0.5  # of the time left that a late request may wait
+PREFILL_TOKENS_PER_SECOND = 30_000.0  # before anything was measured
+PREFILL_QUEUE_SECONDS = 0.3  # of prompts waiting at one prefill engine
+DECODE_TOKENS_PER_SECOND = 280.0  # of one request, before measured
+FULL_SECONDS = 0.25  # an engine that said it is full is left alone
+SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
+SMOOTHING = 0.1  # weight of the newest measurement
+NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
+RETRY_FLOOR_SECONDS = 0.4  # shortest time to come back
+BACKLOG_SECONDS = 4.0  # of work that may wait before more is refused
+
+
+class Ask(NamedTuple):
+    """A request that wants engines.
+
+    Attributes
+    ----------
+    lease : str
+        Identifier of this request for room, unique in the fleet.
+    owner : str
+        Incarnation of the daemon that asks.
+    prompt, output : int
+        Tokens of the prompt, and of the answer as predicted.
+    rank : int
+        0 first.
+    arrived : float
+        Seconds, on the scheduler's clock.
+    objective, deadline : float
+        Until when the first event is on time, and until when an answer is
+        wanted; seconds on the scheduler's clock.
+    data_centre : str
+        Where the daemon stands.
+    excluded : tuple of str
+        Instances that failed this request.
+    """
+
+    lease: str
+    owner: str
+    prompt: int
+    output: int
+    rank: int
+    arrived: float
+    objective: float
+    deadline: float
+    data_centre: str
+    excluded: tuple[str, ...] = ()
+
+    @property
+    def tokens(self) -> int:
+        """Decode memory that is set aside."""
+        return self.prompt + self.output
+
+
+class Placed(NamedTuple):
+    """Engines for a request.
+
+    Attributes
+    ----------
+    prefill : str
+        Instance that reads the prompt; empty if the decode engine does.
+    decode : str
+        Instance that answers.
+    """
+
+    prefill: str
+    decode: str
+
+
+class Refused(NamedTuple):
+    """No engine in time.
+
+    Attributes
+    ----------
+    wait : float
+        Seconds after which it is worth coming back.
+    why : str
+        For the log.
+    """
+
+    wait: float
+    why: str
+
+
+Decision = Placed | Refused
+
+
+class Lease(NamedTuple):
+    """Room that a request has.
+
+    Attributes
+    ----------
+    ask : Ask
+        Whose it is.
+    placed : Placed
+        Where.
+    since : float
+        When it was given.
+    is_read : bool
+        Whether the prompt has been read.
+    """
+
+    ask: Ask
+    placed: Placed
+    since: float
+    is_read: bool
+
+
+class Load(NamedTuple):
+    """What an engine carries beside this scheduler's leases."""
+
+    tokens: int
+    requests: int
+
+
+class Rooms:
+    """The ledger and queue of one service.
+
+    Parameters
+    ----------
+    limits : EngineLimits
+        What one engine holds.
+    """
+
+    def __init__(self, limits: model.EngineLimits) -> None:
+        self.limits = limits
+        self.leases_by_id: dict[str, Lease] = {}
+        self.prefill_rate = PREFILL_TOKENS_PER_SECOND
+        self._engines_by_instance: dict[str, model.Upstream] = {}
+        self._waiting_by_id: dict[str, Ask] = {}
+        self._foreign_by_owner: dict[str, dict[str, Load]] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._held_seconds = 3.0
+
+    def set_engines(self, engines: list[model.Upstream]) -> None:
+        """Replace the engines that may get work."""
+        self._engines_by_instance = {e.instance: e for e in engines}
+
+    def set_foreign(self, owner: str, loads: dict[str, Load]) -> None:
+        """Take note of what a daemon runs under other schedulers' leases."""
+        self._foreign_by_owner[owner] = loads
+
+    def forget(self, owner: str) -> None:
+        """Drop all that a daemon held; it is gone."""
+        self._foreign_by_owner.pop(owner, None)
+        for held in list(self.leases_by_id.values()):
+            if held.ask.owner == owner:
+                del self.leases_by_id[held.ask.lease]
+        for ask in list(self._waiting_by_id.values()):
+            if ask.owner == owner:
+                del self._waiting_by_id[ask.lease]
+
+    def submit(self, ask: Ask, now: float) -> Decision | None:
+        """Decide on a request; None if it waits."""
+        if not self._decodes(ask, now, ignore_avoided=True):
+            return Refused(self._come_back(ask, 1.0), 'no engine')
+        if not any(self._fits(e, ask) for e in self._all_decodes()):
+            return Refused(self._come_back(ask, 1.0), 'larger than an engine')
+        if not self._is_overtaken(ask, now):
+            placed = self._place(ask, now)
+            if placed is not None:
+                return placed
+        wait = self.expected_wait(ask, now)
+        patience = min(
+            max(ask.objective - now, BACKLOG_SECONDS),
+            (ask.deadline - now) * FINISH_SHARE,
+        )
+        if wait > patience:
+            return Refused(self._come_back(ask, wait), 'backlog')
+        self._waiting_by_id[ask.lease] = ask
+        return None
+
+    def pump(self, now: float) -> list[tuple[Ask, Decision]]:
+        """Return the decisions that have become possible."""
+        decided: list[tuple[Ask, Decision]] = []
+        for ask in self._in_order(now):
+            if now >= ask.deadline or (
+                ask.deadline - now < self._run_seconds(ask)
+            ):
+                del self._waiting_by_id[ask.lease]
+                wait = self._come_back(ask, self.expected_wait(ask, now))
+                decided.append((ask, Refused(wait, 'too late to finish')))
+                continue
+            placed = self._place(ask, now)
+            if placed is None:
+                continue
+            del self._waiting_by_id[ask.lease]
+            decided.append((ask, placed))
+        return decided
+
+    def withdraw(self, lease: str) -> None:
+        """Forget a request that waits."""
+        self._waiting_by_id.pop(lease, None)
+
+    def release(self, lease: str, now: float) -> None:
+        """Free a request's room."""
+        held = self.leases_by_id.pop(lease, None)
+        self._waiting_by_id.pop(lease, None)
+        if held is not None and held.is_read:
+            seconds = now - held.since
+            self._held_seconds += SMOOTHING * (seconds - self._held_seconds)
+
+    def note_read(self, lease: str, now: float) -> None:
+        """Take note that a request's prompt has been read."""
+        held = self.leases_by_id.get(lease)
+        if held is not None:
+            self.leases_by_id[lease] = held._replace(is_read=True)
+
+    def avoid(self, instance: str, now: float, seconds: float) -> None:
+        """Give an engine no work for a while."""
+        until = max(self._avoided_until.get(instance, 0.0), now + seconds)
+        self._avoided_until[instance] = until
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting_by_id)
+
+    def expected_wait(self, ask: Ask, now: float) -> float:
+        """Return the seconds until a request would get room.
+
+        Requests leave at the rate at which full engines finish them.
+        """
+        engines = len(self._decodes(ask, now, ignore_avoided=False)) or 1
+        ahead = sum(w.tokens for w in self._waiting_by_id.values())
+        memory = self.limits.memory_tokens * engines
+        tokens_per_second = memory / max(self._held_seconds, 0.1)
+        return (ahead + ask.tokens) / tokens_per_second
+
+    def _run_seconds(self, ask: Ask) -> float:
+        read = ask.prompt / self.prefill_rate
+        return read + ask.output / DECODE_TOKENS_PER_SECOND
+
+    def _come_back(self, ask: Ask, wait: float) -> float:
+        return max(wait, RETRY_FLOOR_SECONDS)
+
+    def _is_overtaken(self, ask: Ask, now: float) -> bool:
+        """Return whether someone who waits goes before this request."""
+        mine = self._key(ask, now)
+        return any(
+            self._key(other, now) < mine
+            for other in self._waiting_by_id.values()
+        )
+
+    def _key(self, ask: Ask, now: float) -> tuple[bool, int, float]:
+        is_late = self._is_late(ask, now)
+        return is_late, ask.rank, ask.deadline if is_late else ask.objective
+
+    def _is_late(self, ask: Ask, now: float) -> bool:
+        return now + ask.prompt / self.prefill_rate > ask.objective
+
+    def _in_order(self, now: float) -> list[Ask]:
+        return sorted(
+            self._waiting_by_id.values(), key=lambda ask: self._key(ask, now)
+        )
+
+    def _all_decodes(self) -> list[model.Upstream]:
+        return [
+            engine
+            for engine in self._engines_by_instance.values()
+            if engine.phase is model.Phase.DECODE
+        ]
+
+    def _decodes(
+        self, ask: Ask, now: float, *, ignore_avoided: bool
+    ) -> list[model.Upstream]:
+        return [
+            engine
+            for engine in self._all_decodes()
+            if engine.instance not in ask.excluded
+            and (ignore_avoided or not self._is_avoided(engine, now))
+        ]
+
+    def _is_avoided(self, engine: model.Upstream, now: float) -> bool:
+        return self._avoided_until.get(engine.instance, 0.0) > now
+
+    def _fits(self, engine: model.Upstream, ask: Ask) -> bool:
+        return ask.tokens <= self.limits.memory_tokens
+
+    def load(self) -> dict[str, Load]:
+        """Return what each engine carries as decode engine."""
+        tokens: collections.Counter[str] = collections.Counter()
+        requests: collections.Counter[str] = collections.Counter()
+        for held in self.leases_by_id.values():
+            tokens[held.placed.decode] += held.ask.tokens
+            requests[held.placed.decode] += 1
+        for loads in self._foreign_by_owner.values():
+            for instance, load in loads.items():
+                tokens[instance] += load.tokens
+                requests[instance] += load.requests
+        return {i: Load(tokens[i], requests[i]) for i in tokens}
+
+    def _place(self, ask: Ask, now: float) -> Placed | None:
+        share = LATE_SHARE if self._is_late(ask, now) else 1.0
+        memory = self.limits.memory_tokens
+        loads = self.load()
+        best: tuple[float, model.Upstream] | None = None
+        for engine in self._decodes(ask, now, ignore_avoided=False):
+            load = loads.get(engine.instance, Load(0, 0))
+            after = load.tokens + ask.tokens
+            if load.requests >= self.limits.slots:
+                continue
+            if after > memory * share and load.requests:
+                continue
+            cost = after / memory
+            if engine.data_centre != ask.data_centre:
+                cost += NEAR_BONUS
+            if best is None or cost < best[0]:
+                best = cost, engine
+        if best is None:
+            return None
+        reader = self._reader(ask, now, best[1])
+        if reader is None:
+            return None
+        placed = Placed(reader, best[1].instance)
+        self.leases_by_id[ask.lease] = Lease(ask, placed, now, not reader)
+        return placed
+
+    def _reader(
+        self, ask: Ask, now: float, decode: model.Upstream
+    ) -> str | None:
+        """Return who reads the prompt: '' for the decode engine itself."""
+        queued: collections.Counter[str] = collections.Counter()
+        for held in self.leases_by_id.values():
+            if not held.is_read:
+                queued[held.placed.prefill] += held.ask.prompt
+        engines = [
+            engine
+            for engine in self._engines_by_instance.values()
+            if engine.phase is model.Phase.PREFILL
+            and engine.instance not in ask.excluded
+            and not self._is_avoided(engine, now)
+        ]
+        if not engines:
+            return ''
+        best = min(
+            engines,
+            key=lambda e: (
+                queued[e.instance] / self.prefill_rate
+                + (NEAR_BONUS if e.data_centre != decode.data_centre else 0)
+            ),
+        )
+        waiting = queued[best.instance] / self.prefill_rate
+        return best.instance if waiting <= PREFILL_QUEUE_SECONDS else None
--- /dev/null
+++ b/corianderspar/router/telemetry.py
@@ -0,0 +1,64 @@
+"""Counters and histograms of one daemon of the router."""
+
+from collections.abc import Callable
+
+import prometheus_client as prometheus
+
+from corianderspar import kernel
+from corianderspar import metrics
+from corianderspar import problems
+from corianderspar.router import work as works
+
+
+class Telemetry:
+    """The service ``telemetry``; its labels are bounded by the code."""
+
+    name = 'telemetry'
+    requires: tuple[str, ...] = ()
+
+    def __init__(self) -> None:
+        self.registry = prometheus.CollectorRegistry()
+        self._requests = prometheus.Counter(
+            'corianderspar_router_requests',
+            'Requests by kind of service and status; 0 is a gone caller.',
+            ('kind', 'status'),
+            registry=self.registry,
+        )
+        self._refusals = prometheus.Counter(
+            'corianderspar_router_refusals',
+            'Answers of our own by code and whether the request ran.',
+            ('code', 'ran'),
+            registry=self.registry,
+        )
+        self._seconds = prometheus.Histogram(
+            'corianderspar_router_seconds',
+            'Seconds from the head of a request to the end of its answer.',
+            ('kind',),
+            buckets=metrics.SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+
+    async def start(self, app: kernel.Application) -> None:
+        """Nothing to start: others count."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the page is."""
+        made = prometheus.Gauge(name, text, registry=self.registry)
+        made.set_function(read)
+
+    def refused(self, problem: problems.Problem) -> None:
+        """Count an answer of our own."""
+        self._refusals.labels(problem.code, problem.ran).inc()
+
+    def ended(self, work: works.Work, seconds: float, _ending: str) -> None:
+        """Count a request that ended."""
+        kind = 'engine' if work.matched.service.engine else 'plain'
+        self._requests.labels(kind, str(work.exchange.status)).inc()
+        self._seconds.labels(kind).observe(seconds)
+
+    def page(self) -> bytes:
+        """Return the page that a scraper reads."""
+        return prometheus.generate_latest(self.registry)
--- /dev/null
+++ b/corianderspar/router/work.py
@@ -0,0 +1,117 @@
+"""One caller's request on its way through this daemon."""
+
+from typing import NamedTuple
+
+from corianderspar import http_io
+from corianderspar import problems
+from corianderspar.router import model
+
+NO_WAIT = 0.4  # seconds to come back where nothing better is known
+
+
+class Refused(Exception):
+    """The request gets a final answer of our own.
+
+    Parameters
+    ----------
+    problem : Problem
+        What the caller is told.
+    """
+
+    def __init__(self, problem: problems.Problem) -> None:
+        super().__init__(problem.code)
+        self.problem = problem
+
+
+class Matched(NamedTuple):
+    """What the configuration says of a request.
+
+    Attributes
+    ----------
+    version : int
+        Of the configuration.
+    route : Route
+        Where it goes.
+    service : Service
+        The one that was drawn for it.
+    account : Account or None
+        None on a public route.
+    """
+
+    version: int
+    route: model.Route
+    service: model.Service
+    account: model.Account | None
+
+
+class Work:
+    """A request, and what is known of its runs.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The way back to the caller.
+    request : CallerRequest
+        What was asked.
+    matched : Matched
+        What the configuration says of it.
+    arrived : float
+        Monotonic seconds at which its head was read.
+
+    Attributes
+    ----------
+    ends_at : float
+        Monotonic seconds at which the caller must have its answer.
+    ran_on : int
+        Upstreams on which it ran or may have run.
+    sends : int
+        Times it was sent to an upstream.
+    stage, upstream : str
+        For the log: what it is doing, and where it was sent last.
+    """
+
+    def __init__(
+        self,
+        exchange: http_io.Exchange,
+        request: model.CallerRequest,
+        matched: Matched,
+        arrived: float,
+    ) -> None:
+        self.exchange = exchange
+        self.request = request
+        self.matched = matched
+        self.arrived = arrived
+        self.ends_at = arrived + min(request.budget, matched.route.timeout)
+        self.ran_on = 0
+        self.sends = 0
+        self.stage = 'admitted'
+        self.upstream = ''
+
+    @property
+    def account(self) -> str:
+        """Name of the client account; empty on a public route."""
+        account = self.matched.account
+        return account.name if account else ''
+
+    @property
+    def priority(self) -> int:
+        """Rank, 0 first."""
+        account = self.matched.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.matched.route.priority
+
+    def remaining(self, now: float) -> float:
+        """Return seconds until the caller must have its answer."""
+        return self.ends_at - now
+
+    def refused(
+        self, code: str, message: str, wait: float = NO_WAIT
+    ) -> Refused:
+        """Return the final answer to a request that is given up.
+
+        It says ``not run`` only if that is sure.
+        """
+        if self.ran_on:
+            return Refused(problems.Problem(code, 502, 'unknown', message))
+        return Refused(problems.Problem(code, 503, 'no', message, wait))
--- a/corianderspar/server.py
+++ b/corianderspar/server.py
@@ -30,10 +30,27 @@
         What is served; it may be set later, before `start`.
     address : str
         ip:port; port 0 takes a free one.
+    idle_seconds : float
+        How long a caller's connection may stay idle; may be changed, and
+        then holds for new connections.
+    header_bytes : int
+        Longest head of a request.
+    with_date : bool
+        Whether answers get a date; not where an upstream's are passed on.
     """
 
-    def __init__(self, app: Any, address: str) -> None:
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        idle_seconds: float = IDLE_SECONDS,
+        header_bytes: int = HEADER_BYTES,
+        with_date: bool = True,
+    ) -> None:
         self.address = address
+        self.idle_seconds = idle_seconds
+        self._header_bytes = header_bytes
+        self._with_date = with_date
         self.app = app
         self._listener: socket.socket | None = None
         self._server: _Server | None = None
@@ -65,10 +82,12 @@
             log_config=None,
             log_level='critical',
             server_header=False,
-            h11_max_incomplete_event_size=HEADER_BYTES,
-            timeout_keep_alive=IDLE_SECONDS,
+            h11_max_incomplete_event_size=self._header_bytes,
+            timeout_keep_alive=self.idle_seconds,  # type: ignore[arg-type]
+            date_header=self._with_date,
             backlog=BACKLOG,
         )
+        self._config = config
         self._server = _Server(config)
         self._task = asyncio.create_task(
             self._server.serve([self._listener]), name='http-server'
@@ -78,6 +97,12 @@
                 self._task.result()
             await asyncio.sleep(0)
 
+    def set_idle_seconds(self, seconds: float) -> None:
+        """Change how long new connections may stay idle."""
+        self.idle_seconds = seconds
+        if self._server is not None:
+            self._config.timeout_keep_alive = seconds  # type: ignore[assignment]
+
     async def stop(self) -> None:
         """Accept no more, finish what runs, then close."""
         if self._server is None or self._task is None:
--- a/corianderspar/service_reader.py
+++ b/corianderspar/service_reader.py
@@ -10,7 +10,7 @@
 from expression import Result
 
 from corianderspar import kernel
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import problems
 from corianderspar import shards
 from corianderspar import versions
--- a/corianderspar/slopes_edge.py
+++ b/corianderspar/slopes_edge.py
@@ -16,7 +16,7 @@
 
 from corianderspar import catalogue
 from corianderspar import fits
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import standins
 
 SITES = (
--- a/corianderspar/standins.py
+++ b/corianderspar/standins.py
@@ -12,7 +12,7 @@
 from corianderspar import fake_platform
 from corianderspar import keys
 from corianderspar import plain_server
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import platform_server
 from corianderspar import server
 from corianderspar import shards
--- a/corianderspar/version_pull.py
+++ b/corianderspar/version_pull.py
@@ -10,7 +10,7 @@
 
 from corianderspar import kernel
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import shards
 from corianderspar import versions
 
--- a/corianderspar/versions.py
+++ b/corianderspar/versions.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from corianderspar import catalogue
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import problems
 from corianderspar import shards
 
--- a/tests/placement_fleet.py
+++ b/tests/placement_fleet.py
@@ -17,7 +17,7 @@
 from corianderspar import membership
 from corianderspar import peers
 from corianderspar import placement
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 MODEL = 'blurb'
 
--- a/tests/test_fake_platform.py
+++ b/tests/test_fake_platform.py
@@ -4,7 +4,7 @@
 
 from corianderspar import clock
 from corianderspar import fake_platform
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 
 def test_a_watch_ends_with_the_change_or_with_the_time():
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -11,7 +11,7 @@
 from corianderspar import keys
 from corianderspar import membership
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 FIRST = keys.NewKey('csk_first', keys.digest_of('csk_first'))
 SECOND = keys.NewKey('csk_second', keys.digest_of('csk_second'))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from corianderspar import kernel
 from corianderspar import membership
 from corianderspar import peers
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 
 
 def listing(revision, names):
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from corianderspar import platform
+from corianderspar import platform_seam as platform
 from corianderspar import shards
 from tests import catalogues
 
