--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -1,6 +1,7 @@
 """One daemon of the router: an application on real sockets."""
 
 import asyncio
+from collections.abc import Callable
 import random
 import signal
 from typing import Any
@@ -8,6 +9,7 @@
 
 from corianderspar import channel
 from corianderspar import clock
+from corianderspar import http_io
 from corianderspar import kernel
 from corianderspar import logs
 from corianderspar import peers
@@ -120,8 +122,8 @@
             self._front, settings.callers, with_date=False
         )
         self._small = [
-            server.HttpServer(self._readiness, settings.readiness),
-            server.HttpServer(self._metrics, settings.metrics),
+            server.HttpServer(_Page(self._readiness), settings.readiness),
+            server.HttpServer(_Page(self._metrics), settings.metrics),
         ]
 
     async def start(self) -> None:
@@ -170,26 +172,44 @@
             if config is not None:
                 self._callers.set_idle_seconds(config.limits.idle_seconds)
 
-    async def _readiness(
-        self, _scope: dict[str, Any], _receive: Any, send: Any
-    ) -> None:
-        await _plain(send, 200 if self._front.is_ready else 503, b'')
+    def _readiness(self) -> tuple[int, bytes]:
+        return (200 if self._front.is_ready else 503), b''
+
+    def _metrics(self) -> tuple[int, bytes]:
+        return 200, self._telemetry.page()
+
 
-    async def _metrics(
-        self, _scope: dict[str, Any], _receive: Any, send: Any
+class _Page:
+    """An ASGI application with one page.
+
+    Parameters
+    ----------
+    read : callable
+        Returns its status and text.
+    """
+
+    def __init__(self, read: Callable[[], tuple[int, bytes]]) -> None:
+        self._read = read
+
+    async def __call__(
+        self,
+        _scope: dict[str, Any],
+        _receive: http_io.Receive,
+        send: http_io.Send,
     ) -> None:
-        await _plain(send, 200, self._telemetry.page())
-
-
-async def _plain(send: Any, status: int, body: bytes) -> None:
-    headers = [
-        (b'content-type', b'text/plain; version=0.0.4'),
-        (b'content-length', b'%d' % len(body)),
-    ]
-    await send(
-        {'type': 'http.response.start', 'status': status, 'headers': headers}
-    )
-    await send({'type': 'http.response.body', 'body': body})
+        """Answer with the page."""
+        status, text = self._read()
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [
+                    (b'content-type', b'text/plain; version=0.0.4'),
+                    (b'content-length', b'%d' % len(text)),
+                ],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': text})
 
 
 async def serve(node: Node, writer: log_writer.LogWriter) -> None:
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -122,12 +122,16 @@
         now = self._app.clock.monotonic()
         sizes = work.request.sizes or model.Sizes(0, 0, 0)
         work.stage = 'waiting for room'
+        route = work.matched.route
+        patience = work.remaining(now)
+        if not work.exchange.status:
+            patience = min(patience, work.arrived + route.patience - now)
         room = await self._placement.acquire(
             work.matched.service.name,
             (sizes.prompt, sizes.expected),
             work.priority,
-            work.arrived + work.matched.route.objective - now,
-            work.remaining(now),
+            work.arrived + route.objective - now,
+            patience,
             excluded,
         )
         waited = self._app.clock.monotonic() - now
--- a/corianderspar/router/model.py
+++ b/corianderspar/router/model.py
@@ -3,6 +3,11 @@
 import enum
 from typing import NamedTuple
 
+# A caller gives a stream up after the longest of these three.
+SILENT_STREAM_SECONDS = 2.0
+OBJECTIVES_SILENT = 4.0  # times the time to the first event it wants
+GAPS_SILENT = 8.0  # times the pause between events it wants
+
 
 class Repeat(enum.Enum):
     """What may be done again when a request's ending is unknown."""
@@ -90,6 +95,17 @@
     priority: int
     public: bool
 
+    @property
+    def patience(self) -> float:
+        """Seconds without an event after which callers give a stream up."""
+        if not self.streaming:
+            return self.timeout
+        return max(
+            SILENT_STREAM_SECONDS,
+            OBJECTIVES_SILENT * self.objective,
+            GAPS_SILENT * self.gap,
+        )
+
 
 class Account(NamedTuple):
     """A client account.
--- a/corianderspar/router/quota.py
+++ b/corianderspar/router/quota.py
@@ -14,8 +14,6 @@
 import collections
 from typing import NamedTuple
 
-REFILL_SILENT_SECONDS = 60.0  # silent peers are forgotten after this
-START_SHARE = 0.25  # of the burst; a fleet that restarts grants it anew
 
 
 class Grant(NamedTuple):
@@ -119,7 +117,7 @@
     ) -> float:
         bucket = self._buckets_by_account.get(account)
         if bucket is None:
-            bucket = _Bucket(burst * START_SHARE, now)
+            bucket = _Bucket(burst, now)
         level = bucket.level + (now - bucket.at) * rate * self._share
         level = min(level, burst)
         self._buckets_by_account[account] = _Bucket(level, now)
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -20,16 +20,15 @@
 from corianderspar.router import model
 
 LATE_SHARE = 0.8  # of decode memory, for requests past their objective
-FINISH_SHARE = 0.5  # of the time left that a late request may wait
+WAIT_SHARE = 0.7  # of the time left that a request is expected to wait
 PREFILL_TOKENS_PER_SECOND = 30_000.0  # before anything was measured
 PREFILL_QUEUE_SECONDS = 0.3  # of prompts waiting at one prefill engine
-DECODE_TOKENS_PER_SECOND = 280.0  # of one request, before measured
+FIRST_EVENT_SECONDS = 0.12  # from a prompt that was read to its first event
 FULL_SECONDS = 0.25  # an engine that said it is full is left alone
 SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
 SMOOTHING = 0.1  # weight of the newest measurement
 NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
 RETRY_FLOOR_SECONDS = 0.4  # shortest time to come back
-BACKLOG_SECONDS = 4.0  # of work that may wait before more is refused
 
 
 class Ask(NamedTuple):
@@ -48,8 +47,8 @@
     arrived : float
         Seconds, on the scheduler's clock.
     objective, deadline : float
-        Until when the first event is on time, and until when an answer is
-        wanted; seconds on the scheduler's clock.
+        Until when the first event is on time, and until when it is wanted
+        at all; seconds on the scheduler's clock.
     data_centre : str
         Where the daemon stands.
     excluded : tuple of str
@@ -182,11 +181,7 @@
             if placed is not None:
                 return placed
         wait = self.expected_wait(ask, now)
-        patience = min(
-            max(ask.objective - now, BACKLOG_SECONDS),
-            (ask.deadline - now) * FINISH_SHARE,
-        )
-        if wait > patience:
+        if wait > (ask.deadline - now) * WAIT_SHARE:
             return Refused(self._come_back(ask, wait), 'backlog')
         self._waiting_by_id[ask.lease] = ask
         return None
@@ -195,12 +190,10 @@
         """Return the decisions that have become possible."""
         decided: list[tuple[Ask, Decision]] = []
         for ask in self._in_order(now):
-            if now >= ask.deadline or (
-                ask.deadline - now < self._run_seconds(ask)
-            ):
+            if now + self._read_seconds(ask) >= ask.deadline:
                 del self._waiting_by_id[ask.lease]
                 wait = self._come_back(ask, self.expected_wait(ask, now))
-                decided.append((ask, Refused(wait, 'too late to finish')))
+                decided.append((ask, Refused(wait, 'no room in time')))
                 continue
             placed = self._place(ask, now)
             if placed is None:
@@ -247,9 +240,8 @@
         tokens_per_second = memory / max(self._held_seconds, 0.1)
         return (ahead + ask.tokens) / tokens_per_second
 
-    def _run_seconds(self, ask: Ask) -> float:
-        read = ask.prompt / self.prefill_rate
-        return read + ask.output / DECODE_TOKENS_PER_SECOND
+    def _read_seconds(self, ask: Ask) -> float:
+        return ask.prompt / self.prefill_rate + FIRST_EVENT_SECONDS
 
     def _come_back(self, ask: Ask, wait: float) -> float:
         return max(wait, RETRY_FLOOR_SECONDS)
@@ -267,7 +259,7 @@
         return is_late, ask.rank, ask.deadline if is_late else ask.objective
 
     def _is_late(self, ask: Ask, now: float) -> bool:
-        return now + ask.prompt / self.prefill_rate > ask.objective
+        return now + self._read_seconds(ask) > ask.objective
 
     def _in_order(self, now: float) -> list[Ask]:
         return sorted(
