Place requests by the most memory that engines will hold together

Cause: room was set aside for the whole expected answer of each request, while answers end at different times; no decode send was refused and none preempted, and requests were refused beside free memory. Change: an engine fits if the peak of its runs' projected growth does.

--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -29,7 +29,7 @@
 from corianderspar.router import upstreams
 
 STILL_TAKING_SECONDS = 2.6  # after SIGTERM: two looks of the balancer and more
-LEFT_FOR_EXIT = 0.1  # of the grace, for closing what still runs
+LEFT_FOR_EXIT = 0.06  # of the grace, for closing what still runs
 SWEEP_SECONDS = 1.0  # between looks at idle connections
 
 
@@ -149,10 +149,17 @@
         self._fleet.send_now()
         # The balancer sends callers here until it has looked twice.
         await asyncio.sleep(STILL_TAKING_SECONDS)
-        while self._front.running and loop.time() < ends:
-            await asyncio.sleep(0.05)
-        self.app.events.add('daemon.stopped', running=self._front.running)
-        await self._callers.abort()
+        # Idle connections are closed now, the others after their answer: a
+        # request that came later could not be finished.
+        try:
+            async with asyncio.timeout_at(ends):
+                await self._callers.stop()
+        except TimeoutError:
+            self.app.events.add(
+                'daemon.cutting', running=self._front.running
+            )
+            await self._callers.abort()
+        self.app.events.add('daemon.stopped')
         for small in self._small:
             await small.abort()
         await self.app.stop()
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -19,6 +19,7 @@
 ROUNDS_MOST = 4  # of room, prefill and decode for one request
 PREFILL_SECONDS = 1.2  # queue of 0.3 s, 0.2 s of reading, and slow engines
 SILENT_SECONDS = 1.2  # between events before a stream goes on elsewhere
+LEAVING_SECONDS = 1.0  # that a request may wait at a daemon that is leaving
 RELEASE_SECONDS = 1.0  # for an engine to free a prompt
 
 
@@ -126,6 +127,8 @@
         patience = work.remaining(now)
         if not work.exchange.status:
             patience = min(patience, work.arrived + route.patience - now)
+        if work.exchange.closing:
+            patience = min(patience, LEAVING_SECONDS)
         room = await self._placement.acquire(
             work.matched.service.name,
             (sizes.prompt, sizes.expected),
@@ -150,7 +153,9 @@
                 prefill=room.placed.prefill or '-',
                 decode=room.placed.decode,
                 home=room.home,
-                tokens=room.tokens,
+                prompt=sizes.prompt,
+                expected=sizes.expected,
+                most=sizes.output,
                 waited=f'{waited:.3f}',
                 store_age=f'{self._beliefs.age():.2f}',
             )
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -26,6 +26,10 @@
 FIRST_EVENT_SECONDS = 0.12  # from a prompt that was read to its first event
 FULL_SECONDS = 0.25  # an engine that said it is full is left alone
 SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
+DECODE_TOKENS_PER_SECOND = 300.0  # of one request, before measured
+PACE_SECONDS = 30.0  # of decoding for which the first guess counts
+PACE_DECAY = 0.98  # of earlier measurements with each new one
+OVERDUE_SHARE = 0.25  # of its length that an answer past its length may add
 SMOOTHING = 0.1  # weight of the newest measurement
 NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
 RETRY_FLOOR_SECONDS = 0.4  # shortest time to come back
@@ -116,14 +120,19 @@
         Where.
     since : float
         When it was given.
-    is_read : bool
-        Whether the prompt has been read.
+    read_at : float or None
+        When its prompt was read, and its answer began to grow.
     """
 
     ask: Ask
     placed: Placed
     since: float
-    is_read: bool
+    read_at: float | None
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the prompt has been read."""
+        return self.read_at is not None
 
 
 class Load(NamedTuple):
@@ -133,6 +142,48 @@
     requests: int
 
 
+class Run(NamedTuple):
+    """How a request's decode memory is expected to grow and end.
+
+    Attributes
+    ----------
+    tokens : float
+        Held now.
+    left : float
+        Tokens that it will still add, at the pace of all runs, before it
+        ends and frees everything.
+    """
+
+    tokens: float
+    left: float
+
+
+def peak(runs: list[Run]) -> float:
+    """Return the most memory that runs will hold together.
+
+    All grow at one pace until each has added what it lacks, so the most is
+    held at the start or just before one of them ends.
+
+    Examples
+    --------
+    >>> peak([Run(100, 10), Run(200, 0)])
+    300.0
+    >>> peak([Run(100, 50), Run(100, 20)])
+    240.0
+    """
+    held = float(sum(run.tokens for run in runs))
+    most = held
+    past = 0.0
+    growing = len(runs)
+    for run in sorted(runs, key=lambda run: run.left):
+        held += (run.left - past) * growing
+        most = max(most, held)
+        past = run.left
+        growing -= 1
+        held -= run.tokens + run.left
+    return most
+
+
 class Rooms:
     """The ledger and queue of one service.
 
@@ -146,11 +197,14 @@
         self.limits = limits
         self.leases_by_id: dict[str, Lease] = {}
         self.prefill_rate = PREFILL_TOKENS_PER_SECOND
+        self.decode_rate = DECODE_TOKENS_PER_SECOND
         self._engines_by_instance: dict[str, model.Upstream] = {}
         self._waiting_by_id: dict[str, Ask] = {}
         self._foreign_by_owner: dict[str, dict[str, Load]] = {}
         self._avoided_until: dict[str, float] = {}
         self._held_seconds = 3.0
+        self._paced_tokens = DECODE_TOKENS_PER_SECOND * PACE_SECONDS
+        self._paced_seconds = PACE_SECONDS
 
     def set_engines(self, engines: list[model.Upstream]) -> None:
         """Replace the engines that may get work."""
@@ -210,15 +264,24 @@
         """Free a request's room."""
         held = self.leases_by_id.pop(lease, None)
         self._waiting_by_id.pop(lease, None)
-        if held is not None and held.is_read:
-            seconds = now - held.since
-            self._held_seconds += SMOOTHING * (seconds - self._held_seconds)
+        if held is None or held.read_at is None:
+            return
+        seconds = now - held.since
+        self._held_seconds += SMOOTHING * (seconds - self._held_seconds)
+        # Predicted lengths are right on average, so their sum over the sum
+        # of times is the pace; single ones may be far off.
+        self._paced_tokens = self._paced_tokens * PACE_DECAY + held.ask.output
+        self._paced_seconds = (
+            self._paced_seconds * PACE_DECAY + now - held.read_at
+        )
+        if self._paced_seconds > 0:
+            self.decode_rate = self._paced_tokens / self._paced_seconds
 
     def note_read(self, lease: str, now: float) -> None:
         """Take note that a request's prompt has been read."""
         held = self.leases_by_id.get(lease)
         if held is not None:
-            self.leases_by_id[lease] = held._replace(is_read=True)
+            self.leases_by_id[lease] = held._replace(read_at=now)
 
     def avoid(self, instance: str, now: float, seconds: float) -> None:
         """Give an engine no work for a while."""
@@ -289,32 +352,44 @@
     def _fits(self, engine: model.Upstream, ask: Ask) -> bool:
         return ask.tokens <= self.limits.memory_tokens
 
-    def load(self) -> dict[str, Load]:
-        """Return what each engine carries as decode engine."""
-        tokens: collections.Counter[str] = collections.Counter()
-        requests: collections.Counter[str] = collections.Counter()
+    def _runs(self, now: float) -> dict[str, list[Run]]:
+        """Return what runs at each decode engine."""
+        runs: dict[str, list[Run]] = {}
         for held in self.leases_by_id.values():
-            tokens[held.placed.decode] += held.ask.tokens
-            requests[held.placed.decode] += 1
+            runs.setdefault(held.placed.decode, []).append(
+                self._run(held, now)
+            )
         for loads in self._foreign_by_owner.values():
             for instance, load in loads.items():
-                tokens[instance] += load.tokens
-                requests[instance] += load.requests
-        return {i: Load(tokens[i], requests[i]) for i in tokens}
+                # How far these are is not known: taken as nearly done.
+                share = load.tokens / max(load.requests, 1)
+                runs.setdefault(instance, []).extend(
+                    [Run(share, 0.0)] * load.requests
+                )
+        return runs
+
+    def _run(self, held: Lease, now: float) -> Run:
+        ask = held.ask
+        if held.read_at is None:
+            return Run(ask.prompt, ask.output)
+        made = (now - held.read_at) * self.decode_rate
+        left = max(ask.output - made, ask.output * OVERDUE_SHARE)
+        return Run(ask.prompt + made, left)
 
     def _place(self, ask: Ask, now: float) -> Placed | None:
         share = LATE_SHARE if self._is_late(ask, now) else 1.0
-        memory = self.limits.memory_tokens
-        loads = self.load()
+        memory = self.limits.memory_tokens * share
+        runs_by_engine = self._runs(now)
+        new = Run(ask.prompt, ask.output)
         best: tuple[float, model.Upstream] | None = None
         for engine in self._decodes(ask, now, ignore_avoided=False):
-            load = loads.get(engine.instance, Load(0, 0))
-            after = load.tokens + ask.tokens
-            if load.requests >= self.limits.slots:
+            runs = runs_by_engine.get(engine.instance, [])
+            if len(runs) >= self.limits.slots:
                 continue
-            if after > memory * share and load.requests:
+            after = peak([*runs, new])
+            if after > memory and runs:
                 continue
-            cost = after / memory
+            cost = after / self.limits.memory_tokens
             if engine.data_centre != ask.data_centre:
                 cost += NEAR_BONUS
             if best is None or cost < best[0]:
@@ -325,7 +400,8 @@
         if reader is None:
             return None
         placed = Placed(reader, best[1].instance)
-        self.leases_by_id[ask.lease] = Lease(ask, placed, now, not reader)
+        read_at = None if reader else now
+        self.leases_by_id[ask.lease] = Lease(ask, placed, now, read_at)
         return placed
 
     def _reader(
