Count tokens that were taken back, and allow an overdraft

Cause: tokens of requests that were refused for want of room were given back only in the daemon that took them, so that the fleet's view lost 4,000 tokens with each; reports late by a heartbeat overdrew buckets by up to 44,000 tokens.

--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -27,6 +27,8 @@
     # Extra sends of the whole fleet in a window, beside the ratio.
     budget_slack: float = 0
     budget_window_s: float = 10
+    # Tokens, where accounts are counted in tokens.
+    quota_slack: float = 0
 
 
 class _Store(msgspec.Struct):
@@ -84,6 +86,7 @@
                 seeds=tuple(found.seeds),
                 proof_seconds=bounds.revoke_ms / 1000,
                 grace_seconds=bounds.grace_s,
+                quota_slack=bounds.quota_slack,
                 retry_ratio=bounds.budget_ratio,
                 retry_slack=bounds.budget_slack,
                 retry_window=bounds.budget_window_s,
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -17,7 +17,7 @@
 import h11
 
 CONNECT_SECONDS = 0.4  # 140 times the way across two data centres
-SILENT_MS = 2000  # TCP_USER_TIMEOUT: unacknowledged bytes end a connection
+SILENT_MS = 1000  # TCP_USER_TIMEOUT; two losses in a row take 600 ms
 IDLE_SECONDS = 4.0  # of a kept connection whose upstream states no timeout
 IDLE_SHARE = 0.5  # of a stated timeout, before the upstream can act on it
 KEPT_PER_UPSTREAM = 8  # one front's usual parallel calls to one upstream
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -48,6 +48,8 @@
         Oldest proof that a key is still valid.
     grace_seconds : float
         From SIGTERM until the process is killed.
+    quota_slack : float
+        As in `quota.Quota`.
     retry_ratio, retry_slack, retry_window : float
         As in `budget.RetryBudget`.
     """
@@ -60,6 +62,7 @@
     seeds: tuple[str, ...]
     proof_seconds: float
     grace_seconds: float
+    quota_slack: float
     retry_ratio: float
     retry_slack: float
     retry_window: float
@@ -99,7 +102,9 @@
         )
         self._fleet = fleet.Fleet(settings.peers, list(settings.seeds))
         self._beliefs = beliefs.Beliefs(outside.store)
-        self._front = front.Front(outside.form, settings.proof_seconds)
+        self._front = front.Front(
+            outside.form, settings.proof_seconds, settings.quota_slack
+        )
         self._telemetry = telemetry.Telemetry()
         for service in (
             peers.Peers(channel.NngChannel(settings.peers)),
--- a/corianderspar/router/front.py
+++ b/corianderspar/router/front.py
@@ -54,6 +54,8 @@
         How callers speak.
     proof_seconds : float
         Oldest proof that a key is still valid.
+    quota_slack : float
+        As in `quota.Quota`.
 
     Attributes
     ----------
@@ -70,13 +72,15 @@
         'telemetry',
     )
 
-    def __init__(self, form: CallerFormat, proof_seconds: float) -> None:
+    def __init__(
+        self, form: CallerFormat, proof_seconds: float, quota_slack: float
+    ) -> None:
         self.stopping = False
         self.running = 0
         self.on_idle: list[Callable[[], None]] = []
         self._form = form
         self._proof_seconds = proof_seconds - PROOF_MARGIN_SECONDS
-        self._quota = quota.Quota()
+        self._quota = quota.Quota(quota_slack)
 
     async def start(self, app: kernel.Application) -> None:
         """Find the parts it uses."""
--- a/corianderspar/router/quota.py
+++ b/corianderspar/router/quota.py
@@ -3,12 +3,16 @@
 Load it answers: one account at several times its rate, entering through
 all daemons at once, with daemons that restart, freeze or are cut off.
 
-Each daemon counts the tokens it granted by account and tells the running
-totals to its peers. A daemon refills a bucket at the account's rate and
-takes out what it grants and what it hears; a total only ever grows, so a
-repeated or reordered report does no harm. For peers that fell silent, the
-bucket refills only at the share of those that are heard, because the
-silent ones may still grant the rest.
+Each daemon counts the tokens it granted by account, less those it took
+back, and tells the running totals to its peers. A daemon refills a bucket at
+the account's rate and takes out what it grants and what it hears, so that a
+repeated report does no harm. For peers that fell silent, the bucket refills
+only at the share of those that are heard, because the silent ones may still
+grant the rest.
+
+Reports are late by a heartbeat, in which daemons may grant the same tokens
+twice. A bucket may be overdrawn by a part of what the operator allows beyond
+the limit; the rest is left for such races and for a fleet that restarts.
 """
 
 import collections
@@ -16,6 +20,9 @@
 
 
 
+OVERDRAFT_SHARE = 0.125  # of the slack; see above
+
+
 class Grant(NamedTuple):
     """Whether tokens may be used now.
 
@@ -40,9 +47,17 @@
 
 
 class Quota:
-    """Buckets of all client accounts, as one daemon sees them."""
+    """Buckets of all client accounts, as one daemon sees them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    slack : float
+        Tokens beyond rate and burst that the operator allows the fleet in
+        a window.
+    """
+
+    def __init__(self, slack: float = 0.0) -> None:
+        self._overdraft = slack * OVERDRAFT_SHARE
         self.granted_by_account: collections.Counter[str] = (
             collections.Counter()
         )
@@ -71,7 +86,7 @@
             self.granted_by_account[account] += tokens
             return Grant(True, 0.0, 0.0)
         level = self._refill(account, rate, burst, now)
-        needed = min(float(tokens), burst)
+        needed = min(float(tokens), burst) - self._overdraft
         if level < needed:
             return Grant(False, level, (needed - level) / rate)
         self._buckets_by_account[account] = _Bucket(level - tokens, now)
@@ -79,11 +94,8 @@
         return Grant(True, level - tokens, 0.0)
 
     def give_back(self, account: str, tokens: int) -> None:
-        """Return tokens of a request that surely did not run.
-
-        Only this daemon's bucket gets them: the totals that peers hear
-        never fall.
-        """
+        """Return tokens of a request that surely did not run."""
+        self.granted_by_account[account] -= tokens
         bucket = self._buckets_by_account.get(account)
         if bucket is not None:
             self._buckets_by_account[account] = bucket._replace(
@@ -95,8 +107,6 @@
         known = self._heard_by_peer.setdefault(peer, {})
         for account, total in totals_by_account.items():
             more = total - known.get(account, 0)
-            if more <= 0:
-                continue
             known[account] = total
             bucket = self._buckets_by_account.get(account)
             if bucket is not None:
