--- a/corianderspar/platform/callers.py
+++ b/corianderspar/platform/callers.py
@@ -6,7 +6,7 @@
 
 from corianderspar import http_io
 from corianderspar import problems
-from corianderspar.platform import names
+from corianderspar.platform import names  # noqa: H306
 from corianderspar.router import model
 
 # Milliseconds; for a caller that names no time of its own.
--- a/corianderspar/platform/catalogue.py
+++ b/corianderspar/platform/catalogue.py
@@ -34,6 +34,8 @@
     slots: int
     # Tokens of KV cache that one engine holds.
     kv_tokens: int
+    # Seconds for which a prompt that was read waits to be fetched.
+    kv_hold_s: float = 0.5
 
 
 class _Service(msgspec.Struct):
@@ -165,10 +167,14 @@
     engine = found.engine
     return model.Service(
         found.name,
-        model.EngineLimits(engine.slots, engine.kv_tokens) if engine else None,
+        _limits(engine) if engine else None,
     )
 
 
+def _limits(engine: _Engine) -> model.EngineLimits:
+    return model.EngineLimits(engine.slots, engine.kv_tokens, engine.kv_hold_s)
+
+
 def _route(found: _Route) -> model.Route:
     weights = {share.service: share.weight for share in found.split}
     streaming = found.kind == 'streaming'
--- a/corianderspar/platform/engines.py
+++ b/corianderspar/platform/engines.py
@@ -180,4 +180,3 @@
     why: str,
 ) -> Result[upstreams.Handle, upstreams.Failure]:
     return Error(upstreams.Failure(upstreams.Fault.BROKEN, why))
-
--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -11,6 +11,7 @@
 
 from corianderspar import kernel
 from corianderspar import problems
+from corianderspar.router import assembly
 from corianderspar.router import daemon
 
 
@@ -76,20 +77,20 @@
     return Ok(
         Found(
             daemon.RouterSettings(
-                identity=kernel.Identity(
-                    found.node, found.zone, found.region
-                ),
+                identity=kernel.Identity(found.node, found.zone, found.region),
                 callers=found.listen.front,
                 readiness=found.listen.ready,
                 peers=found.listen.control,
                 metrics=f'{found.ip}:{found.port_range[0]}',
                 seeds=tuple(found.seeds),
-                proof_seconds=bounds.revoke_ms / 1000,
-                grace_seconds=bounds.grace_s,
-                quota_slack=bounds.quota_slack,
-                retry_ratio=bounds.budget_ratio,
-                retry_slack=bounds.budget_slack,
-                retry_window=bounds.budget_window_s,
+                bounds=assembly.Bounds(
+                    bounds.revoke_ms / 1000,
+                    bounds.grace_s,
+                    bounds.quota_slack,
+                    bounds.budget_ratio,
+                    bounds.budget_slack,
+                    bounds.budget_window_s,
+                ),
             ),
             host,
             store_port,
--- a/corianderspar/platform/store.py
+++ b/corianderspar/platform/store.py
@@ -19,7 +19,7 @@
 PAGES_MOST = 1000  # of one reading; each holds 50 items or more
 GONE = 410
 
-T = TypeVar("T")
+T = TypeVar('T')
 
 
 class _Item(msgspec.Struct):
@@ -110,9 +110,7 @@
         if reply.status == GONE:
             return Error(store.StoreError('compacted'))
         if reply.status != 200:
-            return Error(
-                store.StoreError('refused', f'status {reply.status}')
-            )
+            return Error(store.StoreError('refused', f'status {reply.status}'))
         try:
             return Ok(msgspec.json.decode(body, type=form))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -289,7 +289,9 @@
                 self._parser.receive_data(await self._connection.read())
         except h11.RemoteProtocolError as error:
             raise UpstreamError(f'no answer: {error}', sent=True) from error
-        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+        if not isinstance(event, h11.Event) or isinstance(
+            event, h11.ConnectionClosed
+        ):
             raise UpstreamError('closed', sent=True)
         return event
 
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -12,18 +12,13 @@
 from corianderspar import http_io
 from corianderspar import kernel
 from corianderspar import logs
-from corianderspar import peers
 from corianderspar import server
+from corianderspar.router import assembly  # noqa: H306
 from corianderspar.router import beliefs
 from corianderspar.router import connections
-from corianderspar.router import engine_calls
 from corianderspar.router import fleet
 from corianderspar.router import front
 from corianderspar.router import log_writer
-from corianderspar.router import placement
-from corianderspar.router import plain_calls
-from corianderspar.router import quarantine
-from corianderspar.router import retries
 from corianderspar.router import store
 from corianderspar.router import telemetry
 from corianderspar.router import upstreams
@@ -44,14 +39,8 @@
         Addresses to listen on, ip:port.
     seeds : tuple of str
         Addresses of daemons that may be alive.
-    proof_seconds : float
-        Oldest proof that a key is still valid.
-    grace_seconds : float
-        From SIGTERM until the process is killed.
-    quota_slack : float
-        As in `quota.Quota`.
-    retry_ratio, retry_slack, retry_window : float
-        As in `budget.RetryBudget`.
+    bounds : Bounds
+        What must be kept.
     """
 
     identity: kernel.Identity
@@ -60,16 +49,11 @@
     peers: str
     metrics: str
     seeds: tuple[str, ...]
-    proof_seconds: float
-    grace_seconds: float
-    quota_slack: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window: float
+    bounds: assembly.Bounds
 
 
-class Outside(NamedTuple):
-    """What a daemon meets through its seams."""
+class Adapters(NamedTuple):
+    """What speaks to the outside."""
 
     store: store.StoreClient
     calls: upstreams.UpstreamCalls
@@ -83,8 +67,8 @@
     ----------
     settings : RouterSettings
         Checked settings.
-    outside : Outside
-        The adapters.
+    adapters : Adapters
+        What speaks to the outside.
     pool : ConnectionPool
         What the adapters call upstreams through.
     """
@@ -92,7 +76,7 @@
     def __init__(
         self,
         settings: RouterSettings,
-        outside: Outside,
+        adapters: Adapters,
         pool: connections.ConnectionPool,
     ) -> None:
         self.settings = settings
@@ -100,29 +84,22 @@
         self.app = kernel.Application(
             settings.identity, clock.SystemClock(), random.Random()
         )
-        self._fleet = fleet.Fleet(settings.peers, list(settings.seeds))
-        self._beliefs = beliefs.Beliefs(outside.store)
-        self._front = front.Front(
-            outside.form, settings.proof_seconds, settings.quota_slack
+        outside = assembly.Outside(
+            channel.NngChannel(settings.peers),
+            adapters.store,
+            adapters.calls,
+            adapters.form,
         )
-        self._telemetry = telemetry.Telemetry()
-        for service in (
-            peers.Peers(channel.NngChannel(settings.peers)),
-            self._fleet,
-            self._beliefs,
-            placement.Placement(),
-            retries.Retries(
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window,
-            ),
-            quarantine.Quarantine(),
-            self._telemetry,
-            engine_calls.EngineCalls(outside.calls),
-            plain_calls.PlainCalls(outside.calls),
-            self._front,
-        ):
-            self.app.add(service)
+        self._front = assembly.add_services(
+            self.app,
+            outside,
+            settings.bounds,
+            settings.peers,
+            list(settings.seeds),
+        )
+        self._fleet = self.app.find('fleet', fleet.Fleet)
+        self._beliefs = self.app.find('beliefs', beliefs.Beliefs)
+        self._telemetry = self.app.find('telemetry', telemetry.Telemetry)
         self._callers = server.HttpServer(
             self._front, settings.callers, with_date=False
         )
@@ -147,7 +124,9 @@
     async def stop(self) -> None:
         """Finish every request within the grace, then close."""
         loop = asyncio.get_running_loop()
-        ends = loop.time() + self.settings.grace_seconds * (1 - LEFT_FOR_EXIT)
+        ends = loop.time() + self.settings.bounds.grace_seconds * (
+            1 - LEFT_FOR_EXIT
+        )
         self.app.events.add('daemon.stopping', running=self._front.running)
         self._front.stopping = True
         self._fleet.leaving = True
@@ -160,9 +139,7 @@
             async with asyncio.timeout_at(ends):
                 await self._callers.stop()
         except TimeoutError:
-            self.app.events.add(
-                'daemon.cutting', running=self._front.running
-            )
+            self.app.events.add('daemon.cutting', running=self._front.running)
             await self._callers.abort()
         self.app.events.add('daemon.stopped')
         for small in self._small:
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -20,9 +20,25 @@
 PREFILL_SECONDS = 1.2  # queue of 0.3 s, 0.2 s of reading, and slow engines
 SILENT_SECONDS = 1.2  # between events before a stream goes on elsewhere
 LEAVING_SECONDS = 1.0  # that a request may wait at a daemon that is leaving
+HOLD_SHARE = 0.6  # of the time a prompt is kept, for another try to fetch it
 RELEASE_SECONDS = 1.0  # for an engine to free a prompt
 
 
+class _Kept(NamedTuple):
+    """A prompt that was read and has not been taken yet.
+
+    Attributes
+    ----------
+    handle : Handle
+        Where it is.
+    until : float
+        Monotonic seconds until which another decode engine may take it.
+    """
+
+    handle: upstreams.Handle
+    until: float
+
+
 class _Round(NamedTuple):
     """How one round ended.
 
@@ -36,12 +52,15 @@
         Instance that the next round leaves out; empty for none.
     crashed : bool
         Whether the engine broke off while it had the request.
+    kept : _Kept or None
+        A prompt for the next round.
     """
 
     is_done: bool
     why: str = ''
     failed: str = ''
     crashed: bool = False
+    kept: _Kept | None = None
 
 
 class EngineCalls:
@@ -90,35 +109,45 @@
         self._retries.first(work.matched.service.name)
         reader = events.EventReader(request.after_event)
         excluded: tuple[str, ...] = ()
-        why = ''
+        ended = _Round(False)
         for number in range(ROUNDS_MOST):
-            if number and not self._may_go_on(work, why):
+            if number and not self._may_go_on(work):
                 break
-            room = await self._room(work, excluded)
+            kept = self._usable(ended.kept)
+            room = await self._room(work, excluded, kept is not None)
             if isinstance(room, rooms.Refused):
+                self._release(kept)
                 raise work.refused('no_room', room.why, room.wait)
+            ended = _Round(False)
             try:
-                ended = await self._round(work, reader, room, number > 0)
+                ended = await self._round(work, reader, room, number > 0, kept)
             finally:
-                self._placement.note(room, 'ended')
+                event = 'whole' if ended.is_done else 'ended'
+                self._placement.note(room, event)
             if ended.is_done:
                 self._quarantine.ended_well(mark)
                 return
-            why = ended.why
             if ended.failed:
                 excluded = (*excluded, ended.failed)
             if ended.crashed:
                 self._quarantine.crashed(work, mark)
-        raise work.refused('engines_failed', why)
+        self._release(ended.kept)
+        raise work.refused('engines_failed', ended.why)
+
+    def _usable(self, kept: _Kept | None) -> _Kept | None:
+        if kept is None or self._app.clock.monotonic() < kept.until:
+            return kept
+        self._release(kept)
+        return None
 
-    def _may_go_on(self, work: works.Work, why: str) -> bool:
+    def _may_go_on(self, work: works.Work) -> bool:
         route = work.matched.route
         if work.ran_on and route.repeat is not model.Repeat.RESUME:
             return False
         return work.ran_on < route.attempts
 
     async def _room(
-        self, work: works.Work, excluded: tuple[str, ...]
+        self, work: works.Work, excluded: tuple[str, ...], is_read: bool
     ) -> placement.Room | rooms.Refused:
         now = self._app.clock.monotonic()
         sizes = work.request.sizes or model.Sizes(0, 0, 0)
@@ -136,6 +165,7 @@
             work.arrived + route.objective - now,
             patience,
             excluded,
+            is_read,
         )
         waited = self._app.clock.monotonic() - now
         if isinstance(room, rooms.Refused):
@@ -167,26 +197,26 @@
         reader: events.EventReader,
         room: placement.Room,
         is_extra: bool,
+        kept: _Kept | None,
     ) -> _Round:
         by_instance = self._beliefs.upstreams_by_instance
         decode = by_instance.get(room.placed.decode)
         if decode is None:
-            return _Round(False, 'decode engine unknown', room.placed.decode)
-        handle: upstreams.Handle | None = None
-        if room.placed.prefill:
+            why = 'decode engine unknown'
+            return _Round(False, why, room.placed.decode, kept=kept)
+        if kept is None and room.placed.prefill:
             prefill = by_instance.get(room.placed.prefill)
             if prefill is None:
-                return _Round(
-                    False, 'prefill engine unknown', room.placed.prefill
-                )
+                why = 'prefill engine unknown'
+                return _Round(False, why, room.placed.prefill)
             found = await self._prefill(work, room, prefill, is_extra)
             if isinstance(found, _Round):
                 return found
-            handle = found
+            kept = found
         if is_extra and not self._extra(work):
-            self._release(handle)
+            self._release(kept)
             return _Round(False, 'no budget for another send')
-        return await self._decode(work, reader, room, decode, handle)
+        return await self._decode(work, reader, room, decode, kept)
 
     async def _prefill(
         self,
@@ -194,7 +224,7 @@
         room: placement.Room,
         engine: model.Upstream,
         is_extra: bool,
-    ) -> upstreams.Handle | _Round:
+    ) -> _Kept | _Round:
         if is_extra and not self._extra(work):
             return _Round(False, 'no budget for another send')
         work.stage = 'prefill'
@@ -218,7 +248,10 @@
             return _Round(False, failure.detail, engine.instance)
         self._placement.note(room, 'read')
         self._log_send(work, engine, began, 'prefill', 'ok')
-        return result.ok
+        limits = work.matched.service.engine
+        hold = limits.hold_seconds if limits else 0.0
+        until = self._app.clock.monotonic() + hold * HOLD_SHARE
+        return _Kept(result.ok, until)
 
     async def _decode(
         self,
@@ -226,7 +259,7 @@
         reader: events.EventReader,
         room: placement.Room,
         engine: model.Upstream,
-        handle: upstreams.Handle | None,
+        kept: _Kept | None,
     ) -> _Round:
         work.stage = 'decode'
         work.upstream = engine.instance
@@ -239,25 +272,27 @@
         limit = SILENT_SECONDS if may_switch else work.remaining(began)
         # Counted before the send: a caller that leaves ends it anywhere.
         work.ran_on += 1
-        is_taken = False
+        is_open = True
         try:
             async with asyncio.timeout(max(limit, 0.0)):
                 result = await self._calls.run(
                     engine,
                     work.request,
                     self._passing(work, reader.last),
-                    handle,
+                    kept.handle if kept else None,
                 )
-            is_taken = result.is_ok()
+            is_open = False
         except TimeoutError:
             self._placement.note(room, 'silent', engine.instance)
             self._log_send(work, engine, began, 'decode', 'silent')
             return _Round(False, 'decode silent', engine.instance)
         finally:
-            if not is_taken:
-                self._release(handle)
+            if is_open:
+                self._release(kept)
         if result.is_error():
-            return self._decode_failed(work, room, engine, result.error, began)
+            return self._decode_failed(
+                work, room, engine, result.error, began, kept
+            )
         answer = result.ok
         try:
             if answer.status != 200 or not answer.is_genuine:
@@ -273,18 +308,27 @@
         engine: model.Upstream,
         failure: upstreams.Failure,
         began: float,
+        kept: _Kept | None,
     ) -> _Round:
         self._log_send(work, engine, began, 'decode', failure.detail)
-        if failure.fault is not upstreams.Fault.BROKEN:
-            work.ran_on -= 1
-        if failure.fault is upstreams.Fault.REFUSED:
-            if failure.misplaced:
-                return _Round(False, failure.detail, engine.instance)
-            self._placement.note(room, 'full', engine.instance)
-            return _Round(False, failure.detail)
-        self._placement.note(room, 'silent', engine.instance)
-        crashed = failure.fault is upstreams.Fault.BROKEN
-        return _Round(False, failure.detail, engine.instance, crashed)
+        name = engine.instance
+        if failure.fault is upstreams.Fault.BROKEN:
+            self._release(kept)
+            self._placement.note(room, 'silent', name)
+            return _Round(False, failure.detail, name, crashed=True)
+        work.ran_on -= 1
+        if failure.fault is upstreams.Fault.NOT_SENT:
+            self._placement.note(room, 'silent', name)
+            return _Round(False, failure.detail, name, kept=kept)
+        if failure.misplaced:
+            return _Round(False, failure.detail, name, kept=kept)
+        # Full, or the prompt is not there any more: which one is not said.
+        # A second refusal elsewhere means the latter.
+        self._placement.note(room, 'full', name)
+        if room.placed.prefill:
+            return _Round(False, failure.detail, name, kept=kept)
+        self._release(kept)
+        return _Round(False, failure.detail)
 
     async def _pass_failure(
         self,
@@ -298,7 +342,7 @@
         why = f'status {answer.status}'
         if work.exchange.status or not answer.is_genuine:
             return _Round(False, why, engine.instance)
-        if self._may_go_on(work, why):
+        if self._may_go_on(work):
             return _Round(False, why, engine.instance)
         try:
             body = b''.join([part async for part in answer.chunks()])
@@ -366,10 +410,10 @@
             work.matched.service.name, work.request.request_id
         )
 
-    def _release(self, handle: upstreams.Handle | None) -> None:
-        if handle is None:
+    def _release(self, kept: _Kept | None) -> None:
+        if kept is None:
             return
-        self._app.spawn(self.name, 'release', self._free(handle))
+        self._app.spawn(self.name, 'release', self._free(kept.handle))
 
     async def _free(self, handle: upstreams.Handle) -> None:
         try:
--- a/corianderspar/router/events.py
+++ b/corianderspar/router/events.py
@@ -27,7 +27,7 @@
 
 
 class EventReader:
-    """Cuts the bytes of one run into events, and checks their order.
+    r"""Cuts the bytes of one run into events, and checks their order.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
     Examples
     --------
     >>> reader = EventReader(1)
-    >>> [p.number for p in reader.feed(b'id: 1\\n\\nid: 2\\n\\nid: 3')]
+    >>> [p.number for p in reader.feed(b'id: 1\n\nid: 2\n\nid: 3')]
     [2]
     >>> reader.last, reader.is_between_events
     (2, False)
--- a/corianderspar/router/front.py
+++ b/corianderspar/router/front.py
@@ -6,19 +6,16 @@
 from typing import Protocol
 
 from expression import Result
-import msgspec
 
 from corianderspar import http_io
 from corianderspar import kernel
 from corianderspar import keys
-from corianderspar import peers
 from corianderspar import problems
+from corianderspar.router import allowance
 from corianderspar.router import beliefs
 from corianderspar.router import engine_calls
-from corianderspar.router import fleet
 from corianderspar.router import model
 from corianderspar.router import plain_calls
-from corianderspar.router import quota
 from corianderspar.router import telemetry
 from corianderspar.router import work as works
 
@@ -54,8 +51,6 @@
         How callers speak.
     proof_seconds : float
         Oldest proof that a key is still valid.
-    quota_slack : float
-        As in `quota.Quota`.
 
     Attributes
     ----------
@@ -65,22 +60,19 @@
 
     name = 'front'
     requires: tuple[str, ...] = (
+        'allowance',
         'beliefs',
         'engine_calls',
-        'fleet',
         'plain_calls',
         'telemetry',
     )
 
-    def __init__(
-        self, form: CallerFormat, proof_seconds: float, quota_slack: float
-    ) -> None:
+    def __init__(self, form: CallerFormat, proof_seconds: float) -> None:
         self.stopping = False
         self.running = 0
         self.on_idle: list[Callable[[], None]] = []
         self._form = form
         self._proof_seconds = proof_seconds - PROOF_MARGIN_SECONDS
-        self._quota = quota.Quota(quota_slack)
 
     async def start(self, app: kernel.Application) -> None:
         """Find the parts it uses."""
@@ -89,9 +81,7 @@
         self._engines = app.find('engine_calls', engine_calls.EngineCalls)
         self._plain = app.find('plain_calls', plain_calls.PlainCalls)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
-        self._fleet = app.find('fleet', fleet.Fleet)
-        self._fleet.section('quota', self._provide, self._accept)
-        self._fleet.on_ended.append(self._quota.forget)
+        self._allowance = app.find('allowance', allowance.Allowance)
 
     async def stop(self) -> None:
         """Nothing to hand on."""
@@ -163,7 +153,7 @@
         request = request._replace(body=body.ok)
         matched = self._match(request)
         work = works.Work(exchange, request, matched, arrived)
-        self._charge(work)
+        await self._charge(work)
         return work
 
     def _match(self, request: model.CallerRequest) -> works.Matched:
@@ -199,25 +189,20 @@
         names = list(weights)
         return self._app.rng.choices(names, list(weights.values()))[0]
 
-    def _charge(self, work: works.Work) -> None:
+    async def _charge(self, work: works.Work) -> None:
         account = work.matched.account
         if account is None:
             return
-        sizes = work.request.sizes
-        tokens = sizes.total if sizes else account.default_tokens
-        now = self._app.clock.monotonic()
-        self._quota.set_share(self._fleet.heard_share())
-        grant = self._quota.take(
-            account.name, account.rate, account.burst, tokens, now
-        )
+        tokens = work.tokens
+        grant = await self._allowance.take(account, tokens)
         if not grant.granted:
             raise works.Refused(
                 problems.Problem(
                     'over_rate',
                     429,
                     'no',
-                    f'account {account.name!r} lacks '
-                    f'{tokens - grant.level:.0f} tokens of {tokens}',
+                    f'account {account.name!r} asks {tokens} tokens '
+                    f'and has {grant.level:.0f}',
                     grant.wait,
                 )
             )
@@ -286,9 +271,7 @@
         account = work.matched.account
         if problem.ran != 'no' or account is None:
             return
-        sizes = work.request.sizes
-        tokens = sizes.total if sizes else account.default_tokens
-        self._quota.give_back(account.name, tokens)
+        self._allowance.give_back(account, work.tokens)
 
     async def _refuse(
         self,
@@ -330,17 +313,6 @@
             seconds=f'{now - work.arrived:.3f}',
         )
 
-    def _provide(self, _vm: str) -> bytes | None:
-        return msgspec.msgpack.encode(self._quota.granted_by_account)
-
-    def _accept(self, sender: peers.Sender, content: bytes) -> None:
-        try:
-            totals = msgspec.msgpack.decode(content, type=dict[str, int])
-        except msgspec.MsgspecError as error:
-            self._app.events.add('peer.unreadable', peer=sender.vm, why=error)
-            return
-        self._quota.hear(sender.incarnation, totals)
-
 
 def _refused(code: str, status: int, message: str) -> works.Refused:
     wait = COME_BACK_SECONDS if status == 503 else None
--- a/corianderspar/router/model.py
+++ b/corianderspar/router/model.py
@@ -34,10 +34,13 @@
         Requests that run at the same time.
     memory_tokens : int
         Tokens of KV cache that fit.
+    hold_seconds : float
+        How long a prompt that was read is kept for a decode engine.
     """
 
     slots: int
     memory_tokens: int
+    hold_seconds: float = 0.5
 
 
 class Service(NamedTuple):
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -21,6 +21,7 @@
 ANSWER_SECONDS = 0.15  # for a home to say that it heard; 50 times the way
 PUMP_SECONDS = 0.05  # between looks at requests whose time runs out
 LEASE_SECONDS = 30.0  # no request lasts longer
+ENDS = ('whole', 'ended')
 SILENT_SECONDS = 0.5  # a home that did not answer is not asked again
 
 
@@ -31,7 +32,7 @@
     ----------
     service, lease : str
         For what, and the identifier of this request for room.
-    prompt, output, rank : int
+    prompt, named, rank : int
         As in `rooms.Ask`.
     objective, deadline : float
         Seconds from now.
@@ -39,17 +40,20 @@
         Of the asker.
     excluded : tuple of str
         Instances that failed this request.
+    is_read : bool
+        Whether an engine keeps its prompt already.
     """
 
     service: str
     lease: str
     prompt: int
-    output: int
+    named: int
     rank: int
     objective: float
     deadline: float
     data_centre: str
     excluded: tuple[str, ...]
+    is_read: bool = False
 
 
 class RoomAnswer(NamedTuple):
@@ -71,7 +75,8 @@
     service, lease : str
         Which.
     event : str
-        ``read``, ``ended``, ``full`` (the decode engine refused) or
+        ``read``, ``whole`` (the answer came to its end), ``ended``,
+        ``full`` (the decode engine refused) or
         ``silent`` (an engine did not answer).
     instance : str
         The engine that was full or silent.
@@ -145,6 +150,7 @@
         objective: float,
         deadline: float,
         excluded: tuple[str, ...] = (),
+        is_read: bool = False,
     ) -> Room | rooms.Refused:
         """Get engines for a request; waits as long as the home says.
 
@@ -153,13 +159,15 @@
         service : str
             Whose engines.
         sizes : (int, int)
-            Tokens of the prompt, and of the answer as predicted.
+            Tokens of the prompt, and of the answer as the caller names them.
         rank : int
             0 first.
         objective, deadline : float
             Seconds from now.
         excluded : tuple of str
             Instances that failed this request.
+        is_read : bool
+            Whether an engine keeps its prompt already.
         """
         self._sequence += 1
         lease = f'{self._app.incarnation}/{self._sequence}'
@@ -173,6 +181,7 @@
             deadline,
             self._app.identity.data_centre,
             excluded,
+            is_read,
         )
         home = self._home(service)
         waiting: asyncio.Future[RoomAnswer] = (
@@ -201,7 +210,7 @@
 
     def note(self, room: Room, event: str, instance: str = '') -> None:
         """Tell the home what became of a lease; see `RoomNews`."""
-        if event == 'ended':
+        if event in ENDS:
             self.held_by_lease.pop(room.lease, None)
         self._tell(
             room.home, RoomNews(room.service, room.lease, event, instance)
@@ -291,18 +300,22 @@
             return RoomAnswer(
                 want.lease, 'refused', '', '', 1.0, 'service unknown at home'
             )
+        # A daemon that has just become home runs what others had placed.
+        own = str(self._app.incarnation)
+        scheduler.set_foreign(own, self._loads(own).get(want.service, {}))
         now = self._app.clock.monotonic()
         ask = rooms.Ask(
             want.lease,
             owner,
             want.prompt,
-            want.output,
+            want.named,
             want.rank,
             now,
             now + want.objective,
             now + want.deadline,
             want.data_centre,
             want.excluded,
+            want.is_read,
         )
         decision = scheduler.submit(ask, now)
         if decision is None:
@@ -320,9 +333,7 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(answer)
 
-    async def _hear_news(
-        self, _sender: peers.Sender, news: RoomNews
-    ) -> None:
+    async def _hear_news(self, _sender: peers.Sender, news: RoomNews) -> None:
         self._take_news(news)
 
     def _take_news(self, news: RoomNews) -> None:
@@ -332,8 +343,8 @@
         now = self._app.clock.monotonic()
         if news.event == 'read':
             scheduler.note_read(news.lease, now)
-        elif news.event == 'ended':
-            scheduler.release(news.lease, now)
+        elif news.event in ENDS:
+            scheduler.release(news.lease, now, news.event == 'whole')
             self._owners_by_lease.pop(news.lease, None)
         elif news.event == 'full':
             scheduler.avoid(news.instance, now, rooms.FULL_SECONDS)
@@ -366,7 +377,7 @@
             if held.since < now - LEASE_SECONDS
         ]
         for lease in due:
-            scheduler.release(lease, now)
+            scheduler.release(lease, now, is_whole=False)
 
     def _refresh(self) -> None:
         now = self._app.clock.monotonic()
@@ -378,9 +389,8 @@
         for scheduler in self._rooms_by_service.values():
             scheduler.forget(incarnation)
 
-    def _provide(self, vm: str) -> bytes | None:
-        """Tell what this daemon runs under leases of other homes than vm."""
-        giver = self._incarnation(vm)
+    def _loads(self, giver: str) -> dict[str, dict[str, rooms.Load]]:
+        """Return what this daemon runs, but for what a giver gave."""
         loads: dict[str, dict[str, rooms.Load]] = {}
         for room in self.held_by_lease.values():
             if room.giver == giver:
@@ -390,7 +400,10 @@
             by_engine[room.placed.decode] = rooms.Load(
                 known.tokens + room.tokens, known.requests + 1
             )
-        return msgspec.msgpack.encode(loads)
+        return loads
+
+    def _provide(self, vm: str) -> bytes | None:
+        return msgspec.msgpack.encode(self._loads(self._incarnation(vm)))
 
     def _accept(self, sender: peers.Sender, content: bytes) -> None:
         try:
@@ -413,6 +426,4 @@
 def _say(lease: str, decision: rooms.Decision) -> RoomAnswer:
     if isinstance(decision, rooms.Placed):
         return RoomAnswer(lease, 'placed', decision.prefill, decision.decode)
-    return RoomAnswer(
-        lease, 'refused', '', '', decision.wait, decision.why
-    )
+    return RoomAnswer(lease, 'refused', '', '', decision.wait, decision.why)
--- a/corianderspar/router/quota.py
+++ b/corianderspar/router/quota.py
@@ -13,14 +13,17 @@
 Reports are late by a heartbeat, in which daemons may grant the same tokens
 twice. A bucket may be overdrawn by a part of what the operator allows beyond
 the limit; the rest is left for such races and for a fleet that restarts.
+
+Callers that are refused are told to come back one after another, at the
+pace at which tokens come, and not all at the moment of the next ones.
 """
 
 import collections
 from typing import NamedTuple
 
-
-
 OVERDRAFT_SHARE = 0.125  # of the slack; see above
+NEAR_SHARE = 0.5  # of the burst; below it a bucket is near its limit
+COME_BACK_MOST = 5.0  # seconds; callers wait no longer on our word
 
 
 class Grant(NamedTuple):
@@ -31,9 +34,9 @@
     granted : bool
         Whether they were taken.
     level : float
-        Tokens left in the bucket; negative after late reports.
+        Tokens left in the bucket; negative if it is overdrawn.
     wait : float
-        Seconds until the tokens would be there.
+        Seconds until the caller should come back; 0 if granted.
     """
 
     granted: bool
@@ -42,7 +45,10 @@
 
 
 class _Bucket(NamedTuple):
+    """Tokens at a time, and those that refused callers were told of."""
+
     level: float
+    promised: float
     at: float
 
 
@@ -54,13 +60,18 @@
     slack : float
         Tokens beyond rate and burst that the operator allows the fleet in
         a window.
+
+    Attributes
+    ----------
+    granted_by_account : Counter
+        Tokens that this daemon granted, less those it took back.
     """
 
     def __init__(self, slack: float = 0.0) -> None:
-        self._overdraft = slack * OVERDRAFT_SHARE
         self.granted_by_account: collections.Counter[str] = (
             collections.Counter()
         )
+        self._overdraft = slack * OVERDRAFT_SHARE
         self._buckets_by_account: dict[str, _Bucket] = {}
         self._heard_by_peer: dict[str, dict[str, int]] = {}
         self._share = 1.0
@@ -85,22 +96,33 @@
         if rate <= 0:
             self.granted_by_account[account] += tokens
             return Grant(True, 0.0, 0.0)
-        level = self._refill(account, rate, burst, now)
+        bucket = self._refill(account, rate, burst, now)
         needed = min(float(tokens), burst) - self._overdraft
-        if level < needed:
-            return Grant(False, level, (needed - level) / rate)
-        self._buckets_by_account[account] = _Bucket(level - tokens, now)
+        if bucket.level < needed:
+            promised = bucket.promised + tokens
+            self._buckets_by_account[account] = bucket._replace(
+                promised=promised
+            )
+            wait = (needed - bucket.level + bucket.promised) / rate
+            return Grant(False, bucket.level, min(wait, COME_BACK_MOST))
+        level = bucket.level - tokens
+        self._buckets_by_account[account] = bucket._replace(level=level)
         self.granted_by_account[account] += tokens
-        return Grant(True, level - tokens, 0.0)
+        return Grant(True, level, 0.0)
+
+    def is_near_limit(
+        self, account: str, rate: float, burst: float, tokens: int, now: float
+    ) -> bool:
+        """Return whether late reports could matter for a request."""
+        if rate <= 0:
+            return False
+        level = self._refill(account, rate, burst, now).level
+        return level - tokens < burst * NEAR_SHARE
 
     def give_back(self, account: str, tokens: int) -> None:
         """Return tokens of a request that surely did not run."""
         self.granted_by_account[account] -= tokens
-        bucket = self._buckets_by_account.get(account)
-        if bucket is not None:
-            self._buckets_by_account[account] = bucket._replace(
-                level=bucket.level + tokens
-            )
+        self._add(account, tokens)
 
     def hear(self, peer: str, totals_by_account: dict[str, int]) -> None:
         """Take note of the totals of one incarnation of a peer."""
@@ -108,11 +130,7 @@
         for account, total in totals_by_account.items():
             more = total - known.get(account, 0)
             known[account] = total
-            bucket = self._buckets_by_account.get(account)
-            if bucket is not None:
-                self._buckets_by_account[account] = bucket._replace(
-                    level=bucket.level - more
-                )
+            self._add(account, -more)
 
     def forget(self, peer: str) -> None:
         """Drop the totals of an incarnation that ended."""
@@ -122,13 +140,24 @@
         """Set the share of the known daemons that are heard, 0 to 1."""
         self._share = share
 
+    def _add(self, account: str, tokens: int) -> None:
+        bucket = self._buckets_by_account.get(account)
+        if bucket is not None:
+            self._buckets_by_account[account] = bucket._replace(
+                level=bucket.level + tokens
+            )
+
     def _refill(
         self, account: str, rate: float, burst: float, now: float
-    ) -> float:
+    ) -> _Bucket:
         bucket = self._buckets_by_account.get(account)
         if bucket is None:
-            bucket = _Bucket(burst, now)
-        level = bucket.level + (now - bucket.at) * rate * self._share
-        level = min(level, burst)
-        self._buckets_by_account[account] = _Bucket(level, now)
-        return level
+            bucket = _Bucket(burst, 0.0, now)
+        new = (now - bucket.at) * rate * self._share
+        bucket = _Bucket(
+            min(bucket.level + new, burst),
+            max(bucket.promised - new, 0.0),
+            now,
+        )
+        self._buckets_by_account[account] = bucket
+        return bucket
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -15,8 +15,10 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
+from corianderspar.router import lengths
 from corianderspar.router import model
 
 LATE_SHARE = 0.8  # of decode memory, for requests past their objective
@@ -27,8 +29,8 @@
 FULL_SECONDS = 0.25  # an engine that said it is full is left alone
 SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
 DECODE_TOKENS_PER_SECOND = 300.0  # of one request, before measured
-PACE_SECONDS = 30.0  # of decoding for which the first guess counts
-PACE_DECAY = 0.98  # of earlier measurements with each new one
+PACE_SMOOTHING = 0.02  # weight of one answer's pace
+SHORTEST_SECONDS = 0.01  # of decoding; keeps the pace finite
 OVERDUE_SHARE = 0.25  # of its length that an answer past its length may add
 SMOOTHING = 0.1  # weight of the newest measurement
 NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
@@ -44,8 +46,8 @@
         Identifier of this request for room, unique in the fleet.
     owner : str
         Incarnation of the daemon that asks.
-    prompt, output : int
-        Tokens of the prompt, and of the answer as predicted.
+    prompt, named : int
+        Tokens of the prompt, and of the answer as the caller names them.
     rank : int
         0 first.
     arrived : float
@@ -57,18 +59,24 @@
         Where the daemon stands.
     excluded : tuple of str
         Instances that failed this request.
+    is_read : bool
+        Whether an engine keeps its prompt already.
+    output : int
+        Tokens of the answer as the scheduler predicts them.
     """
 
     lease: str
     owner: str
     prompt: int
-    output: int
+    named: int
     rank: int
     arrived: float
     objective: float
     deadline: float
     data_centre: str
     excluded: tuple[str, ...] = ()
+    is_read: bool = False
+    output: int = 0
 
     @property
     def tokens(self) -> int:
@@ -197,14 +205,13 @@
         self.limits = limits
         self.leases_by_id: dict[str, Lease] = {}
         self.prefill_rate = PREFILL_TOKENS_PER_SECOND
-        self.decode_rate = DECODE_TOKENS_PER_SECOND
         self._engines_by_instance: dict[str, model.Upstream] = {}
         self._waiting_by_id: dict[str, Ask] = {}
         self._foreign_by_owner: dict[str, dict[str, Load]] = {}
         self._avoided_until: dict[str, float] = {}
         self._held_seconds = 3.0
-        self._paced_tokens = DECODE_TOKENS_PER_SECOND * PACE_SECONDS
-        self._paced_seconds = PACE_SECONDS
+        self._pace = math.log(DECODE_TOKENS_PER_SECOND)
+        self._lengths = lengths.Lengths()
 
     def set_engines(self, engines: list[model.Upstream]) -> None:
         """Replace the engines that may get work."""
@@ -226,6 +233,8 @@
 
     def submit(self, ask: Ask, now: float) -> Decision | None:
         """Decide on a request; None if it waits."""
+        output = round(self._lengths.predict(ask.named))
+        ask = ask._replace(output=output)
         if not self._decodes(ask, now, ignore_avoided=True):
             return Refused(self._come_back(ask, 1.0), 'no engine')
         if not any(self._fits(e, ask) for e in self._all_decodes()):
@@ -260,22 +269,37 @@
         """Forget a request that waits."""
         self._waiting_by_id.pop(lease, None)
 
-    def release(self, lease: str, now: float) -> None:
-        """Free a request's room."""
+    def release(self, lease: str, now: float, is_whole: bool) -> None:
+        """Free a request's room.
+
+        Parameters
+        ----------
+        lease : str
+            Which.
+        now : float
+            Seconds, on the scheduler's clock.
+        is_whole : bool
+            Whether the answer came to its own end.
+        """
         held = self.leases_by_id.pop(lease, None)
         self._waiting_by_id.pop(lease, None)
-        if held is None or held.read_at is None:
+        if held is None or held.read_at is None or not is_whole:
             return
-        seconds = now - held.since
-        self._held_seconds += SMOOTHING * (seconds - self._held_seconds)
-        # Predicted lengths are right on average, so their sum over the sum
-        # of times is the pace; single ones may be far off.
-        self._paced_tokens = self._paced_tokens * PACE_DECAY + held.ask.output
-        self._paced_seconds = (
-            self._paced_seconds * PACE_DECAY + now - held.read_at
-        )
-        if self._paced_seconds > 0:
-            self.decode_rate = self._paced_tokens / self._paced_seconds
+        held_for = now - held.since
+        self._held_seconds += SMOOTHING * (held_for - self._held_seconds)
+        seconds = max(now - held.read_at, SHORTEST_SECONDS)
+        # Callers' figures are right at the median, so the mean of the
+        # logarithms gives the pace; single ones may be far off.
+        pace = math.log(held.ask.named / seconds) if held.ask.named else 0.0
+        if pace:
+            self._pace += PACE_SMOOTHING * (pace - self._pace)
+            made = seconds * self.decode_rate
+            self._lengths.learn(held.ask.named, made)
+
+    @property
+    def decode_rate(self) -> float:
+        """Tokens a second of one request."""
+        return math.exp(self._pace)
 
     def note_read(self, lease: str, now: float) -> None:
         """Take note that a request's prompt has been read."""
@@ -396,7 +420,7 @@
                 best = cost, engine
         if best is None:
             return None
-        reader = self._reader(ask, now, best[1])
+        reader = '' if ask.is_read else self._reader(ask, now, best[1])
         if reader is None:
             return None
         placed = Placed(reader, best[1].instance)
--- a/corianderspar/router/work.py
+++ b/corianderspar/router/work.py
@@ -93,6 +93,14 @@
         account = self.matched.account
         return account.name if account else ''
 
+    @property
+    def tokens(self) -> int:
+        """What the client account is charged."""
+        if self.request.sizes is not None:
+            return self.request.sizes.total
+        account = self.matched.account
+        return account.default_tokens if account else 0
+
     @property
     def priority(self) -> int:
         """Rank, 0 first."""
--- /dev/null
+++ b/tests/router/system.py
@@ -0,0 +1,154 @@
+"""A fleet of router daemons in memory, for tests."""
+
+import random
+
+from corianderspar import caller
+from corianderspar import channel
+from corianderspar import clock
+from corianderspar import kernel
+from corianderspar import keys
+from corianderspar.router import allowance
+from corianderspar.router import assembly
+from corianderspar.router import beliefs
+from corianderspar.router import fleet
+from corianderspar.router import front
+from corianderspar.router import model
+from corianderspar.router import placement
+from corianderspar.router import twins
+
+ENGINES = model.EngineLimits(64, 39_101)
+
+
+def route(name, service, repeat, **changes):
+    found = model.Route(
+        name,
+        'h',
+        f'/{name}/',
+        {service: 1.0},
+        repeat,
+        repeat is model.Repeat.RESUME,
+        2,
+        10.0,
+        0.9,
+        0.3,
+        1,
+        False,
+    )
+    return found._replace(**changes)
+
+
+def configuration(version=1, routes=None, keys_by_account=None, **limits):
+    routes = routes or (
+        route('chat', 'llm', model.Repeat.RESUME),
+        route('once', 'llm', model.Repeat.NEVER, streaming=True),
+        route('look', 'shop', model.Repeat.FREELY),
+        route('order', 'shop', model.Repeat.NEVER),
+    )
+    keys_by_account = keys_by_account or {'parish': ('k1',)}
+    account = model.Account('', 0.0, 0.0, 200, None)._replace(**limits)
+    return model.Configuration(
+        version,
+        {'h': tuple(routes)},
+        {
+            'llm': model.Service('llm', ENGINES),
+            'shop': model.Service('shop', None),
+        },
+        {
+            keys.digest_of(key): account._replace(name=name)
+            for name, found in keys_by_account.items()
+            for key in found
+        },
+        model.CallerLimits(),
+    )
+
+
+def upstream(name, phase=model.Phase.PLAIN, data_centre='a'):
+    service = 'shop' if phase is model.Phase.PLAIN else 'llm'
+    return model.Upstream(
+        name, service, '127.0.0.1', 1, data_centre, phase, True, 6
+    )
+
+
+UPSTREAMS = (
+    upstream('p1', model.Phase.PREFILL),
+    upstream('p2', model.Phase.PREFILL),
+    upstream('d1', model.Phase.DECODE),
+    upstream('d2', model.Phase.DECODE),
+    upstream('s1'),
+    upstream('s2'),
+)
+
+
+class System:
+    """Daemons, their store and their upstreams."""
+
+    def __init__(self, seed=1):
+        self.network = channel.MemoryNetwork(random.Random(seed))
+        self.store = twins.MemoryStore()
+        self.calls = twins.MemoryUpstreams()
+        self.apps_by_vm = {}
+        self.starts = 0
+        self.store.publish(configuration())
+        for found in UPSTREAMS:
+            self.store.register(found)
+
+    async def start(self, vm, seeds=('vm1:1',), **bounds):
+        self.starts += 1
+        app = kernel.Application(
+            kernel.Identity(vm, 'a', 'r'),
+            clock.VirtualClock(1_800_000_000.0 + self.starts),
+            random.Random(self.starts),
+        )
+        link = channel.MemoryChannel(self.network, vm, f'{vm}:1', app.clock)
+        outside = assembly.Outside(
+            link, self.store.client(vm), self.calls, twins.MemoryForm()
+        )
+        assembly.add_services(
+            app, outside, assembly.Bounds(**bounds), f'{vm}:1', list(seeds)
+        )
+        await app.start()
+        self.apps_by_vm[vm] = app
+        return app
+
+    async def start_all(self, count, **bounds):
+        for number in range(1, count + 1):
+            await self.start(f'vm{number}', **bounds)
+
+    async def kill(self, vm):
+        await self.apps_by_vm.pop(vm).abort()
+
+    def beliefs(self, vm):
+        return self.apps_by_vm[vm].find('beliefs', beliefs.Beliefs)
+
+    def fleet(self, vm):
+        return self.apps_by_vm[vm].find('fleet', fleet.Fleet)
+
+    def front(self, vm):
+        return self.apps_by_vm[vm].find('front', front.Front)
+
+    def placement(self, vm):
+        return self.apps_by_vm[vm].find('placement', placement.Placement)
+
+    def allowance(self, vm):
+        return self.apps_by_vm[vm].find('allowance', allowance.Allowance)
+
+    def exchange(self, vm):
+        return caller.Exchange(self.front(vm))
+
+    async def ask(self, vm, path, key='k1', **headers):
+        exchange = self.exchange(vm)
+        return await self.run(exchange, path, key, **headers)
+
+    async def run(self, exchange, path, key='k1', **headers):
+        self.starts += 1
+        found = {'id': f'r{self.starts}', 'host': 'h', 'key': key}
+        found |= headers
+        method = 'GET' if path.startswith('/look') else 'POST'
+        return await exchange.run(method, path, tuple(found.items()))
+
+    def events(self, vm, name):
+        return [
+            event
+            for event in self.apps_by_vm[vm].events.events()
+            if event.name == name
+        ]
--- /dev/null
+++ b/tests/router/test_front.py
@@ -0,0 +1,352 @@
+import asyncio
+
+from corianderspar import clock
+from corianderspar.router import model
+from corianderspar.router import twins
+from corianderspar.router import upstreams
+from tests.router import system
+
+
+def play(main, count=3, **bounds):
+    async def run():
+        world = system.System()
+        await world.start_all(count, **bounds)
+        await asyncio.sleep(3.0)
+        await main(world)
+
+    clock.run_virtual(run())
+
+
+SIZES = '3000,1000'
+
+
+def test_a_lookup_is_answered_unchanged():
+    async def main(world):
+        answer = await world.ask('vm1', '/look/x')
+        assert answer.status == 200 and answer.ended
+        assert answer.body.endswith(b' /look/x')
+        assert world.calls.sent[-1].passing.account == 'parish'
+
+    play(main)
+
+
+def test_unknown_keys_and_routes_are_refused():
+    async def main(world):
+        assert (await world.ask('vm1', '/look/x', key='bad')).status == 401
+        assert (await world.ask('vm1', '/none/x')).status == 404
+        assert not world.calls.sent
+
+    play(main)
+
+
+def test_a_withdrawn_key_stops_working_everywhere():
+    async def main(world):
+        world.store.publish(
+            system.configuration(2, keys_by_account={'parish': ('k2',)})
+        )
+        await asyncio.sleep(0.1)
+        for vm in world.apps_by_vm:
+            assert (await world.ask(vm, '/look/x')).status == 401
+            assert (await world.ask(vm, '/look/x', key='k2')).status == 200
+
+    play(main)
+
+
+def test_without_proof_keys_are_refused_and_callers_sent_elsewhere():
+    async def main(world):
+        world.store.down = True
+        await asyncio.sleep(6.0)
+        assert not world.front('vm1').is_ready
+        answer = await world.ask('vm1', '/look/x')
+        assert answer.status == 503
+        assert answer.headers_by_name['ran'] == 'no'
+        assert float(answer.headers_by_name['retry-after']) > 0
+        assert not world.calls.sent
+
+    play(main)
+
+
+def test_a_frozen_daemon_knows_that_its_proof_is_old():
+    async def main(world):
+        app = world.apps_by_vm['vm1']
+        app.clock.pause()
+        world.store.down = True
+        await asyncio.sleep(6.0)
+        app.clock.resume()
+        answer = await world.ask('vm1', '/look/x')
+        assert answer.status == 503
+
+    play(main)
+
+
+def test_a_lookup_that_fails_is_sent_to_another_upstream_once():
+    async def main(world):
+        world.calls.behaviours_by_instance['s1'] = twins.Behaviour(status=500)
+        for _ in range(5):
+            answer = await world.ask('vm1', '/look/x')
+            assert answer.status == 200
+        assert len(world.calls.sent) <= 10
+
+    play(main, retry_slack=40.0)
+
+
+def test_an_order_is_never_sent_twice_once_it_may_have_run():
+    async def main(world):
+        broken = twins.Behaviour(fault=upstreams.Fault.BROKEN)
+        for name in ('s1', 's2'):
+            world.calls.behaviours_by_instance[name] = broken
+        answer = await world.ask('vm1', '/order/x')
+        assert answer.status == 502
+        assert answer.headers_by_name['ran'] == 'unknown'
+        assert len(world.calls.sent) == 1
+
+    play(main, retry_slack=40.0)
+
+
+def test_an_order_that_was_refused_goes_to_another_upstream():
+    async def main(world):
+        refused = twins.Behaviour(fault=upstreams.Fault.REFUSED)
+        world.calls.behaviours_by_instance['s1'] = refused
+        statuses = [
+            (await world.ask('vm1', '/order/x')).status for _ in range(4)
+        ]
+        assert statuses == [200] * 4
+        world.calls.behaviours_by_instance['s2'] = refused
+        answer = await world.ask('vm1', '/order/x')
+        assert answer.status == 503
+        assert answer.headers_by_name['ran'] == 'no'
+
+    play(main, retry_slack=40.0)
+
+
+def test_a_silent_upstream_is_given_up_for_a_lookup():
+    async def main(world):
+        mute = twins.Behaviour(seconds=60.0)
+        world.calls.behaviours_by_instance['s1'] = mute
+        for _ in range(3):
+            assert (await world.ask('vm1', '/look/x')).status == 200
+
+    play(main, retry_slack=40.0)
+
+
+def test_the_route_time_ends_a_request_with_a_final_answer():
+    async def main(world):
+        routes = (
+            system.route('order', 'shop', model.Repeat.NEVER, timeout=0.5),
+        )
+        world.store.publish(system.configuration(2, routes))
+        mute = twins.Behaviour(seconds=60.0)
+        for name in ('s1', 's2'):
+            world.calls.behaviours_by_instance[name] = mute
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await world.ask('vm1', '/order/x')
+        assert answer.status == 504
+        assert 0.4 <= loop.time() - began <= 0.5
+
+    play(main)
+
+
+def test_a_stream_comes_from_prefill_and_decode():
+    async def main(world):
+        answer = await world.ask('vm1', '/chat/x', sizes=SIZES)
+        assert answer.status == 200 and answer.ended
+        assert answer.body.count(b'id: ') == 5
+        (first, reader), (second, writer) = world.calls.kinds()
+        assert (first, second) == ('prefill', 'decode')
+        assert reader[0] == 'p' and writer[0] == 'd'
+
+    play(main)
+
+
+def test_a_stream_goes_on_elsewhere_after_its_last_whole_event():
+    async def main(world):
+        breaking = twins.Behaviour(breaks_after=2)
+        world.calls.behaviours_by_instance['d1'] = breaking
+        world.calls.behaviours_by_instance['d2'] = breaking
+        task = asyncio.create_task(world.ask('vm1', '/chat/x', sizes=SIZES))
+        await asyncio.sleep(0.17)
+        world.calls.behaviours_by_instance.clear()
+        answer = await task
+        assert answer.ended
+        numbers = [
+            int(line[4:])
+            for line in answer.body.split(b'\n')
+            if line.startswith(b'id: ')
+        ]
+        assert numbers == [1, 2, 3, 4, 5]
+        decodes = [s for s in world.calls.sent if s.kind == 'decode']
+        assert decodes[1].passing.after_event == 2
+        assert decodes[0].instance != decodes[1].instance
+
+    play(main, retry_slack=40.0)
+
+
+def test_a_stream_that_may_not_be_repeated_looks_broken():
+    async def main(world):
+        breaking = twins.Behaviour(breaks_after=2)
+        for name in ('d1', 'd2'):
+            world.calls.behaviours_by_instance[name] = breaking
+        answer = await world.ask('vm1', '/once/x', sizes=SIZES)
+        assert answer.status == 200 and not answer.ended
+        assert len([s for s in world.calls.sent if s.kind == 'decode']) == 1
+
+    play(main, retry_slack=40.0)
+
+
+def test_a_decode_engine_that_is_gone_costs_no_second_prefill():
+    async def main(world):
+        gone = twins.Behaviour(fault=upstreams.Fault.NOT_SENT)
+        world.calls.behaviours_by_instance['d1'] = gone
+        for _ in range(2):
+            answer = await world.ask('vm1', '/once/x', sizes=SIZES)
+            assert answer.ended
+        kinds = [kind for kind, _ in world.calls.kinds()]
+        assert kinds.count('prefill') == 2
+        assert kinds.count('decode') <= 3
+
+    play(main, retry_slack=40.0)
+
+
+def test_a_caller_that_leaves_frees_everything():
+    async def main(world):
+        exchange = world.exchange('vm1')
+        task = asyncio.create_task(world.run(exchange, '/chat/x', sizes=SIZES))
+        await asyncio.sleep(0.17)
+        assert world.calls.working == 1
+        exchange.leave()
+        await asyncio.sleep(0.05)
+        assert task.done() and world.calls.working == 0
+        for vm in world.apps_by_vm:
+            scheduler = world.placement(vm).scheduler('llm')
+            assert not scheduler.leases_by_id
+            assert not world.placement(vm).held_by_lease
+
+    play(main)
+
+
+def test_a_caller_that_leaves_during_prefill_has_its_prompt_freed():
+    async def main(world):
+        slow = twins.Behaviour(seconds=0.3)
+        for name in ('d1', 'd2'):
+            world.calls.behaviours_by_instance[name] = slow
+        exchange = world.exchange('vm1')
+        task = asyncio.create_task(world.run(exchange, '/chat/x', sizes=SIZES))
+        await asyncio.sleep(0.2)
+        exchange.leave()
+        await asyncio.sleep(0.05)
+        assert task.done()
+        assert len(world.calls.released) == 1
+
+    play(main)
+
+
+def test_a_request_that_crashes_engines_is_kept_away_from_the_rest():
+    async def main(world):
+        deadly = twins.Behaviour(fault=upstreams.Fault.BROKEN)
+        for name in ('d1', 'd2'):
+            world.calls.behaviours_by_instance[name] = deadly
+        for _ in range(3):
+            for vm in ('vm1', 'vm2', 'vm3'):
+                await world.ask(vm, '/once/x', sizes=SIZES)
+                await asyncio.sleep(1.0)
+        decodes = [s for s in world.calls.sent if s.kind == 'decode']
+        assert len(decodes) == 2
+        assert world.events('vm3', 'request.refused')[-1].fields['code'] == (
+            'quarantined'
+        )
+
+    play(main, retry_slack=40.0)
+
+
+def test_an_account_gets_its_rate_over_all_daemons():
+    async def main(world):
+        world.store.publish(system.configuration(2, rate=1000.0, burst=1000.0))
+        await asyncio.sleep(0.1)
+        granted = 0
+        refused = []
+
+        async def one(vm):
+            nonlocal granted
+            answer = await world.ask(vm, '/look/x')
+            if answer.status == 200:
+                granted += 200
+            else:
+                assert answer.status == 429
+                refused.append(float(answer.headers_by_name['retry-after']))
+
+        tasks = []
+        for number in range(400):
+            vm = f'vm{number % 3 + 1}'
+            tasks.append(asyncio.create_task(one(vm)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        # 4 s at 20 times the rate.
+        assert 4000 <= granted <= 1000 + 1000 * 4.2
+        assert max(refused) > 1.0
+
+    play(main)
+
+
+def test_two_homes_in_a_cut_give_at_most_one_rate_more_than_the_burst():
+    async def main(world):
+        world.store.publish(system.configuration(2, rate=1000.0, burst=1000.0))
+        await asyncio.sleep(0.1)
+        world.network.partition({'vm1'}, {'vm2', 'vm3'})
+        await asyncio.sleep(2.0)
+        granted = 0
+
+        async def one(vm):
+            nonlocal granted
+            granted += 200 * ((await world.ask(vm, '/look/x')).status == 200)
+
+        tasks = []
+        for number in range(400):
+            vm = f'vm{number % 3 + 1}'
+            tasks.append(asyncio.create_task(one(vm)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        assert granted <= 2 * 1000 + 1000 * 4.2
+
+    play(main)
+
+
+def test_the_home_of_a_service_may_die():
+    async def main(world):
+        home = world.placement('vm1')._home('llm')
+        other = next(vm for vm in world.apps_by_vm if vm != home)
+        assert (await world.ask(other, '/chat/x', sizes=SIZES)).ended
+        await world.kill(home)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        assert (await world.ask(other, '/chat/x', sizes=SIZES)).ended
+        assert loop.time() - began < 0.9
+        assert (await world.ask(other, '/chat/x', sizes=SIZES)).ended
+
+    play(main)
+
+
+def test_a_new_home_knows_what_runs():
+    async def main(world):
+        long = twins.Behaviour(events=200)
+        for name in ('d1', 'd2'):
+            world.calls.behaviours_by_instance[name] = long
+        home = world.placement('vm1')._home('llm')
+        other = next(vm for vm in world.apps_by_vm if vm != home)
+        tasks = [
+            asyncio.create_task(world.ask(other, '/chat/x', sizes=SIZES))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.5)
+        await world.kill(home)
+        await asyncio.sleep(2.5)
+        assert (await world.ask(other, '/once/x', sizes=SIZES)).status == 200
+        after = world.placement(other)._home('llm')
+        scheduler = world.placement(after).scheduler('llm')
+        assert sum(map(len, scheduler._runs(0.0).values())) >= 4
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    play(main)
--- /dev/null
+++ b/tests/router/test_rooms.py
@@ -0,0 +1,175 @@
+import random
+
+import pytest
+
+from corianderspar.router import model
+from corianderspar.router import rooms
+
+LIMITS = model.EngineLimits(slots=64, memory_tokens=39_101)
+READ_RATE = 33_333.0
+WRITE_RATE = 310.0
+
+
+def _engine(name: str, phase: model.Phase) -> model.Upstream:
+    return model.Upstream(name, 's', 'h', 1, 'a', phase, True, 64)
+
+
+DECODES = [_engine(f'd{i}', model.Phase.DECODE) for i in range(4)]
+PREFILLS = [_engine(f'p{i}', model.Phase.PREFILL) for i in range(2)]
+
+
+def _ask(lease: str, now: float, **changes) -> rooms.Ask:
+    ask = rooms.Ask(
+        lease, 'vm/1/x', 3000, 1000, 1, now, now + 0.9, now + 3.6, 'a'
+    )
+    return ask._replace(**changes)
+
+
+def _scheduler(engines=None) -> rooms.Rooms:
+    scheduler = rooms.Rooms(LIMITS)
+    scheduler.set_engines(DECODES + PREFILLS if engines is None else engines)
+    return scheduler
+
+
+def test_requests_spread_over_engines():
+    scheduler = _scheduler()
+    placed = []
+    for number in range(4):
+        found = scheduler.submit(_ask(f'l{number}', 0.0), 0.0)
+        assert isinstance(found, rooms.Placed)
+        placed.append(found)
+    assert {found.decode for found in placed} == {'d0', 'd1', 'd2', 'd3'}
+    assert {found.prefill for found in placed} == {'p0', 'p1'}
+
+
+def test_without_prefill_engines_the_decode_engine_reads():
+    found = _scheduler(DECODES).submit(_ask('l', 0.0), 0.0)
+    assert found == rooms.Placed('', found.decode)
+
+
+def test_without_engines_a_request_is_refused_at_once():
+    found = _scheduler([]).submit(_ask('l', 0.0), 0.0)
+    assert isinstance(found, rooms.Refused) and found.wait > 0
+
+
+def test_a_request_larger_than_an_engine_is_refused_at_once():
+    found = _scheduler().submit(_ask('l', 0.0, prompt=40_000), 0.0)
+    assert isinstance(found, rooms.Refused)
+    assert found.why == 'larger than an engine'
+
+
+def test_room_of_a_daemon_that_died_is_free_again():
+    scheduler = _scheduler()
+    count = 0
+    while isinstance(
+        scheduler.submit(_ask(f'l{count}', 0.0), 0.0), rooms.Placed
+    ):
+        scheduler.note_read(f'l{count}', 0.0)
+        count += 1
+    scheduler.forget('vm/1/x')
+    assert not scheduler.leases_by_id and not scheduler.waiting()
+
+
+def test_an_engine_that_is_full_or_silent_gets_nothing_for_a_while():
+    scheduler = _scheduler()
+    for engine in DECODES[1:]:
+        scheduler.avoid(engine.instance, 0.0, 1.0)
+    assert scheduler.submit(_ask('l', 0.0), 0.0).decode == 'd0'
+
+
+def test_what_others_run_counts():
+    scheduler = _scheduler()
+    full = rooms.Load(39_000, 9)
+    scheduler.set_foreign('vm2', dict.fromkeys(('d0', 'd1', 'd2'), full))
+    assert scheduler.submit(_ask('l', 0.0), 0.0).decode == 'd3'
+
+
+class _Fleet:
+    """Engines as the scheduler's users see them, in virtual time.
+
+    Answers take `WRITE_RATE` and end with their true length; a prompt
+    whose decode engine has no memory left counts as read in vain.
+    """
+
+    def __init__(self, scheduler: rooms.Rooms, seed: int) -> None:
+        self.scheduler = scheduler
+        self.rng = random.Random(seed)
+        self.on_time = self.late = self.refused = 0
+        self.over = 0
+        self.runs: dict[str, tuple[str, int, float, float]] = {}
+        self.asks: dict[str, rooms.Ask] = {}
+        self.busy_until = dict.fromkeys(('p0', 'p1'), 0.0)
+        self.lengths: dict[str, float] = {}
+
+    def arrive(self, lease: str, now: float) -> None:
+        length = min(self.rng.lognormvariate(6.66, 0.7), 2550.0)
+        named = min(length * self.rng.lognormvariate(0.0, 0.5), 2550.0)
+        prompt = int(min(self.rng.lognormvariate(7.9, 0.5), 6600))
+        ask = _ask(lease, now, prompt=prompt, named=int(named) + 1)
+        self.lengths[lease] = length
+        self.asks[lease] = ask
+        self.take(ask, self.scheduler.submit(ask, now), now)
+
+    def take(self, ask, found, now: float) -> None:
+        if isinstance(found, rooms.Refused):
+            self.refused += 1
+        elif found is not None:
+            read = max(now, self.busy_until[found.prefill])
+            read += ask.prompt / READ_RATE
+            self.busy_until[found.prefill] = read
+            end = read + 0.05 + self.lengths[ask.lease] / WRITE_RATE
+            self.runs[ask.lease] = (found.decode, ask.prompt, read, end)
+            if read + 0.05 <= ask.objective:
+                self.on_time += 1
+            else:
+                self.late += 1
+
+    def step(self, now: float) -> None:
+        held: dict[str, float] = {}
+        for lease, (decode, prompt, read, end) in list(self.runs.items()):
+            if now >= end:
+                del self.runs[lease]
+                self.scheduler.release(lease, now, is_whole=True)
+                continue
+            if now >= read:
+                self.scheduler.note_read(lease, read)
+            made = max(now - read, 0.0) * WRITE_RATE
+            held[decode] = held.get(decode, 0.0) + prompt + made
+        self.over += sum(t > LIMITS.memory_tokens for t in held.values())
+        for ask, found in self.scheduler.pump(now):
+            self.take(self.asks[ask.lease], found, now)
+
+
+def _play(scheduler: rooms.Rooms, seed: int, rate: float) -> _Fleet:
+    fleet = _Fleet(scheduler, seed)
+    now, due, number = 0.0, 0.0, 0
+    while now < 40.0:
+        now += 0.01
+        while due <= now:
+            # Arrivals come in clumps of three.
+            for _ in range(3):
+                number += 1
+                fleet.arrive(f'l{number}', now)
+            burst = 2.0 if 10 < now < 15 or 25 < now < 29 else 1.0
+            due += fleet.rng.expovariate(rate * burst / 3)
+        fleet.step(now)
+    return fleet
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_clumps_and_bursts_are_served_on_time(seed):
+    """6.5 requests a second in clumps, twice that in two bursts."""
+    fleet = _play(_scheduler(), seed, 6.5)
+    total = fleet.on_time + fleet.late + fleet.refused
+    assert fleet.on_time >= 0.7 * total
+    # A run that is put back costs its prompt again: one in twenty at most.
+    assert fleet.over <= 0.05 * 4000 * len(DECODES)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_overload_is_refused_and_not_served_late(seed):
+    """Three times what the engines carry, for the whole time."""
+    fleet = _play(_scheduler(), seed, 30.0)
+    assert fleet.on_time >= 2 * fleet.late
+    held = sum(1 for lease in fleet.runs)
+    assert held <= 64
