Look at each engine once when room falls free

Change: one look at the engines for a round of decisions, and requests that need more than one that found no room are passed over.

--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -192,6 +192,19 @@
     return most
 
 
+def _is_as_hard(ask: Ask, failed: Ask) -> bool:
+    """Return whether a request finds no room where another found none.
+
+    The other comes earlier in the order, so it is not late if this one is
+    not, and late ones have less memory to take.
+    """
+    return (
+        ask.prompt >= failed.prompt
+        and ask.output >= failed.output
+        and set(failed.excluded) <= set(ask.excluded)
+    )
+
+
 class Rooms:
     """The ledger and queue of one service.
 
@@ -240,7 +253,7 @@
         if not any(self._fits(e, ask) for e in self._all_decodes()):
             return Refused(self._come_back(ask, 1.0), 'larger than an engine')
         if not self._is_overtaken(ask, now):
-            placed = self._place(ask, now)
+            placed = self._place(ask, now, self._runs(now))
             if placed is not None:
                 return placed
         wait = self.expected_wait(ask, now)
@@ -252,14 +265,19 @@
     def pump(self, now: float) -> list[tuple[Ask, Decision]]:
         """Return the decisions that have become possible."""
         decided: list[tuple[Ask, Decision]] = []
+        runs_by_engine = self._runs(now)
+        failed: list[Ask] = []
         for ask in self._in_order(now):
             if now + self._read_seconds(ask) >= ask.deadline:
                 del self._waiting_by_id[ask.lease]
                 wait = self._come_back(ask, self.expected_wait(ask, now))
                 decided.append((ask, Refused(wait, 'no room in time')))
                 continue
-            placed = self._place(ask, now)
+            if any(_is_as_hard(ask, other) for other in failed):
+                continue
+            placed = self._place(ask, now, runs_by_engine)
             if placed is None:
+                failed.append(ask)
                 continue
             del self._waiting_by_id[ask.lease]
             decided.append((ask, placed))
@@ -400,10 +418,12 @@
         left = max(ask.output - made, ask.output * OVERDUE_SHARE)
         return Run(ask.prompt + made, left)
 
-    def _place(self, ask: Ask, now: float) -> Placed | None:
+    def _place(
+        self, ask: Ask, now: float, runs_by_engine: dict[str, list[Run]]
+    ) -> Placed | None:
+        """Give room, and add the new run to ``runs_by_engine``."""
         share = LATE_SHARE if self._is_late(ask, now) else 1.0
         memory = self.limits.memory_tokens * share
-        runs_by_engine = self._runs(now)
         new = Run(ask.prompt, ask.output)
         best: tuple[float, model.Upstream] | None = None
         for engine in self._decodes(ask, now, ignore_avoided=False):
@@ -424,6 +444,7 @@
         if reader is None:
             return None
         placed = Placed(reader, best[1].instance)
+        runs_by_engine.setdefault(placed.decode, []).append(new)
         read_at = None if reader else now
         self.leases_by_id[ask.lease] = Lease(ask, placed, now, read_at)
         return placed
