Refuse early while a caller can still return after the burst

Change: a new request that would miss its objective is refused as it arrives, spread over the time that fresh requests leave; one that has returned may wait. Tests of the adapter, and of the daemon as a process between stand-ins.

--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -166,6 +166,7 @@
             patience,
             excluded,
             is_read,
+            work.has_returned,
         )
         waited = self._app.clock.monotonic() - now
         if isinstance(room, rooms.Refused):
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -40,8 +40,8 @@
         Of the asker.
     excluded : tuple of str
         Instances that failed this request.
-    is_read : bool
-        Whether an engine keeps its prompt already.
+    is_read, has_returned : bool
+        As in `rooms.Ask`.
     """
 
     service: str
@@ -54,6 +54,7 @@
     data_centre: str
     excluded: tuple[str, ...]
     is_read: bool = False
+    has_returned: bool = False
 
 
 class RoomAnswer(NamedTuple):
@@ -151,6 +152,7 @@
         deadline: float,
         excluded: tuple[str, ...] = (),
         is_read: bool = False,
+        has_returned: bool = False,
     ) -> Room | rooms.Refused:
         """Get engines for a request; waits as long as the home says.
 
@@ -166,8 +168,8 @@
             Seconds from now.
         excluded : tuple of str
             Instances that failed this request.
-        is_read : bool
-            Whether an engine keeps its prompt already.
+        is_read, has_returned : bool
+            As in `rooms.Ask`.
         """
         self._sequence += 1
         lease = f'{self._app.incarnation}/{self._sequence}'
@@ -182,6 +184,7 @@
             self._app.identity.data_centre,
             excluded,
             is_read,
+            has_returned,
         )
         home = self._home(service)
         waiting: asyncio.Future[RoomAnswer] = (
@@ -316,6 +319,7 @@
             want.data_centre,
             want.excluded,
             want.is_read,
+            want.has_returned,
         )
         decision = scheduler.submit(ask, now)
         if decision is None:
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -7,11 +7,15 @@
 
 The home of a service keeps a ledger of decode memory. A request gets decode
 room and a prefill engine in one step, so that room waits only while the
-prompt is read. Those that can still meet their objective go first, newest
-deadlines last; late ones fill what is left below a reserve, since they are
-worth little and would hold the room that the next clump needs. What would
-wait for longer than it is worth is refused as it arrives, with the time at
-which the backlog is expected to be gone.
+prompt is read. Those that can still meet their objective go first; late ones
+fill what is left below a reserve, since they are worth little and would hold
+the room that the next clump needs.
+
+A new request that would not be placed in time for its objective is refused
+as it arrives, while it can still be told to return after the burst. One that
+has returned may wait as long as its caller does: it would hardly come again.
+Those that are told to return are spread over the capacity that fresh
+requests leave, one after another.
 """
 
 import collections
@@ -35,6 +39,9 @@
 SMOOTHING = 0.1  # weight of the newest measurement
 NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
 RETRY_FLOOR_SECONDS = 0.4  # shortest time to come back
+RETRY_MOST_SECONDS = 5.0  # longest; callers wait no longer on our word
+RETRY_NO_ENGINE_SECONDS = 1.0  # to come back where no engine is registered
+RETURN_SHARE = 0.4  # of the capacity, which those who return may count on
 
 
 class Ask(NamedTuple):
@@ -61,6 +68,8 @@
         Instances that failed this request.
     is_read : bool
         Whether an engine keeps its prompt already.
+    has_returned : bool
+        Whether its caller was refused before.
     output : int
         Tokens of the answer as the scheduler predicts them.
     """
@@ -76,6 +85,7 @@
     data_centre: str
     excluded: tuple[str, ...] = ()
     is_read: bool = False
+    has_returned: bool = False
     output: int = 0
 
     @property
@@ -223,6 +233,8 @@
         self._foreign_by_owner: dict[str, dict[str, Load]] = {}
         self._avoided_until: dict[str, float] = {}
         self._held_seconds = 3.0
+        self._promised = 0.0
+        self._promised_at = 0.0
         self._pace = math.log(DECODE_TOKENS_PER_SECOND)
         self._lengths = lengths.Lengths()
 
@@ -249,16 +261,16 @@
         output = round(self._lengths.predict(ask.named))
         ask = ask._replace(output=output)
         if not self._decodes(ask, now, ignore_avoided=True):
-            return Refused(self._come_back(ask, 1.0), 'no engine')
+            return Refused(RETRY_NO_ENGINE_SECONDS, 'no engine')
         if not any(self._fits(e, ask) for e in self._all_decodes()):
-            return Refused(self._come_back(ask, 1.0), 'larger than an engine')
+            return Refused(RETRY_MOST_SECONDS, 'larger than an engine')
         if not self._is_overtaken(ask, now):
             placed = self._place(ask, now, self._runs(now))
             if placed is not None:
                 return placed
         wait = self.expected_wait(ask, now)
-        if wait > (ask.deadline - now) * WAIT_SHARE:
-            return Refused(self._come_back(ask, wait), 'backlog')
+        if wait > self._patience(ask, now):
+            return Refused(self._come_back(ask, now), 'backlog')
         self._waiting_by_id[ask.lease] = ask
         return None
 
@@ -270,7 +282,7 @@
         for ask in self._in_order(now):
             if now + self._read_seconds(ask) >= ask.deadline:
                 del self._waiting_by_id[ask.lease]
-                wait = self._come_back(ask, self.expected_wait(ask, now))
+                wait = self._come_back(ask, now)
                 decided.append((ask, Refused(wait, 'no room in time')))
                 continue
             if any(_is_as_hard(ask, other) for other in failed):
@@ -339,17 +351,38 @@
 
         Requests leave at the rate at which full engines finish them.
         """
+        ahead = sum(
+            other.tokens
+            for other in self._waiting_by_id.values()
+            if self._key(other, now) <= self._key(ask, now)
+        )
+        return (ahead + ask.tokens) / self._tokens_per_second(ask, now)
+
+    def _tokens_per_second(self, ask: Ask, now: float) -> float:
+        """Return the memory that full engines free, tokens a second."""
         engines = len(self._decodes(ask, now, ignore_avoided=False)) or 1
-        ahead = sum(w.tokens for w in self._waiting_by_id.values())
         memory = self.limits.memory_tokens * engines
-        tokens_per_second = memory / max(self._held_seconds, 0.1)
-        return (ahead + ask.tokens) / tokens_per_second
+        return memory / max(self._held_seconds, 0.1)
 
     def _read_seconds(self, ask: Ask) -> float:
         return ask.prompt / self.prefill_rate + FIRST_EVENT_SECONDS
 
-    def _come_back(self, ask: Ask, wait: float) -> float:
-        return max(wait, RETRY_FLOOR_SECONDS)
+    def _patience(self, ask: Ask, now: float) -> float:
+        """Return the longest expected wait with which a request may stay."""
+        until = ask.deadline if ask.has_returned else ask.objective
+        left = until - now - self._read_seconds(ask)
+        return left * WAIT_SHARE
+
+    def _come_back(self, ask: Ask, now: float) -> float:
+        """Return when a refused request should return, in seconds."""
+        rate = self._tokens_per_second(ask, now)
+        past = (now - self._promised_at) * rate * RETURN_SHARE
+        self._promised = max(self._promised - past, 0.0)
+        self._promised_at = now
+        self._promised += ask.tokens
+        wait = self.expected_wait(ask, now)
+        wait += self._promised / (rate * RETURN_SHARE)
+        return min(max(wait, RETRY_FLOOR_SECONDS), RETRY_MOST_SECONDS)
 
     def _is_overtaken(self, ask: Ask, now: float) -> bool:
         """Return whether someone who waits goes before this request."""
--- a/corianderspar/router/work.py
+++ b/corianderspar/router/work.py
@@ -7,6 +7,7 @@
 from corianderspar.router import model
 
 NO_WAIT = 0.4  # seconds to come back where nothing better is known
+RETURNED_SECONDS = 0.3  # that a caller has spent before it asks here
 
 
 class Refused(Exception):
@@ -93,6 +94,16 @@
         account = self.matched.account
         return account.name if account else ''
 
+    @property
+    def has_returned(self) -> bool:
+        """Whether the caller was refused before.
+
+        Callers have the time that their route allows when they ask first;
+        one that names less has spent the rest elsewhere.
+        """
+        short = self.matched.route.timeout - self.request.budget
+        return short > RETURNED_SECONDS
+
     @property
     def tokens(self) -> int:
         """What the client account is charged."""
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,236 @@
+"""A store and engines that speak the platform's form, on real sockets."""
+
+import asyncio
+import base64
+import json
+from urllib import parse
+
+from corianderspar import server
+
+DOCUMENT = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r-chat',
+            'host': 'h.example',
+            'prefix': '/chat/',
+            'kind': 'streaming',
+            'timeout_ms': 5000,
+            'goal_ms': 900,
+            'priority': 1,
+            'service': 'llm',
+            'attempts': 2,
+            'sticky': True,
+            'resumable': True,
+            'gap_goal_ms': 300,
+            'a_new_field': 1,
+        },
+        {
+            'name': 'r-order',
+            'host': 'h.example',
+            'prefix': '/order/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 2000,
+            'split': [{'service': 'shop', 'weight': 1}],
+        },
+        {
+            'name': 'r-look',
+            'host': 'h.example',
+            'prefix': '/order/look/',
+            'kind': 'idempotent',
+            'timeout_ms': 2000,
+            'service': 'shop',
+            'attempts': 2,
+        },
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'health_path': '/healthz',
+            'engine': {'slots': 64, 'kv_tokens': 39101, 'kv_hold_s': 0.5},
+        },
+        {'name': 'shop', 'health_path': '/healthz'},
+    ],
+    'limits': {'idle_timeout_ms': 8000},
+    'tenants': [
+        {
+            'name': 'parish',
+            'api_keys': ['k1', 'k2'],
+            'unit': 'tokens',
+            'default_tokens': 200,
+            'rate_per_s': 36000,
+            'burst': 36000,
+        }
+    ],
+}
+
+
+class Store:
+    """The store; entries are bytes by key."""
+
+    def __init__(self):
+        self.entries_by_key = {}
+        self.history = []
+        self.revision = 10
+        self.status = 200
+        self.page = 2
+        self.calls = []
+        self._changed = asyncio.Event()
+        self._server = server.HttpServer(self, '127.0.0.1:0')
+
+    async def start(self):
+        await self._server.start()
+        return self._server.address
+
+    async def stop(self):
+        await self._server.abort()
+
+    def write(self, key, value):
+        self.revision += 1
+        if value is None:
+            self.entries_by_key.pop(key, None)
+            self.history.append(
+                {'key': key, 'rev': self.revision, 'deleted': True}
+            )
+        else:
+            if not isinstance(value, bytes):
+                value = json.dumps(value).encode()
+            item = {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'rev': self.revision,
+                'created': self.revision,
+                'lease': 0,
+            }
+            self.entries_by_key[key] = item
+            self.history.append(item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        query = dict(parse.parse_qsl(scope['query_string'].decode()))
+        self.calls.append((scope['path'], query))
+        if self.status != 200:
+            await reply(send, self.status, {})
+            return
+        prefix = query.get('prefix', '')
+        if scope['path'] == '/-/kv-range':
+            keys = sorted(
+                key
+                for key in self.entries_by_key
+                if key.startswith(prefix) and key > query.get('after', '')
+            )
+            items = [self.entries_by_key[key] for key in keys[: self.page]]
+            more = len(keys) > self.page
+            body = {'items': items, 'has_more': more}
+        else:
+            after = int(query['after'])
+            if not self._since(after, prefix):
+                try:
+                    wait = int(query['wait_ms']) / 1000
+                    async with asyncio.timeout(wait):
+                        await self._changed.wait()
+                except TimeoutError:
+                    pass
+            body = {'events': self._since(after, prefix)}
+        await reply(send, 200, body | {'as_of': self.revision})
+
+    def _since(self, after, prefix):
+        return [
+            item
+            for item in self.history
+            if item['rev'] > after and item['key'].startswith(prefix)
+        ]
+
+
+class Engine:
+    """One engine or plain server."""
+
+    def __init__(self, instance, service, phase=''):
+        self.instance = instance
+        self.service = service
+        self.phase = phase
+        self.seen = []
+        self.events = 5
+        self.event_seconds = 0.02
+        self.break_after = None
+        self.refuse = False
+        self._server = server.HttpServer(self, '127.0.0.1:0')
+
+    async def start(self, store):
+        await self._server.start()
+        entry = {
+            'service': self.service,
+            'addr': self._server.address,
+            'zone': 'z',
+            'version': 'v1',
+            'slots': 64,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'seq': 1,
+        }
+        if self.phase:
+            entry['phase'] = self.phase
+        store.write(f'servers/{self.instance}', entry)
+
+    async def stop(self):
+        await self._server.abort()
+
+    async def __call__(self, scope, receive, send):
+        headers = {
+            name.decode(): value.decode() for name, value in scope['headers']
+        }
+        body = (await receive())['body']
+        self.seen.append((scope['method'], scope['path'], headers, body))
+        if scope['path'].startswith('/-/'):
+            await reply(send, 200, {})
+            return
+        if headers.get('x-expect-instance') != self.instance:
+            await reply(send, 421, {}, (('x-instance-id', self.instance),))
+            return
+        if self.refuse:
+            await reply(send, 503, {}, (('x-not-run', '1'),))
+            return
+        if headers.get('x-stage') == 'prefill':
+            answer = {'kv_handle': 'abc', 'tokens': 1460, 'version': 1}
+            await reply(send, 200, answer)
+            return
+        echo = (
+            ('x-request-id', headers['x-request-id']),
+            ('x-response-stamp', 'stamp.1'),
+        )
+        if 'x-token-count' not in headers:
+            await reply(send, 200, {'path': scope['path']}, echo)
+            return
+        await self._stream(headers, send, echo)
+
+    async def _stream(self, headers, send, echo):
+        await start(send, 200, (*echo, ('content-type', 'text/event-stream')))
+        first = int(headers.get('last-event-id', 0)) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.event_seconds)
+            content = f'id: {number}\ndata: x{number}\n\n'.encode()
+            await part(send, content, True)
+            if number == self.break_after:
+                return
+        await part(send, b'', False)
+
+
+async def start(send, status, headers):
+    encoded = [(n.encode(), v.encode()) for n, v in headers]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': encoded}
+    )
+
+
+async def part(send, content, more):
+    await send(
+        {'type': 'http.response.body', 'body': content, 'more_body': more}
+    )
+
+
+async def reply(send, status, fields, headers=()):
+    body = json.dumps(fields).encode()
+    length = ('content-length', str(len(body)))
+    await start(send, status, (*headers, length))
+    await part(send, body, False)
--- a/tests/router/test_rooms.py
+++ b/tests/router/test_rooms.py
@@ -173,3 +173,41 @@
     assert fleet.on_time >= 2 * fleet.late
     held = sum(1 for lease in fleet.runs)
     assert held <= 64
+
+
+def _filled(now=0.0):
+    """Return a scheduler whose engines are full of new answers."""
+    scheduler = _scheduler()
+    for number in range(100):
+        found = scheduler.submit(_ask(f'f{number}', now), now)
+        scheduler.note_read(f'f{number}', now)
+        if not isinstance(found, rooms.Placed):
+            break
+    return scheduler
+
+
+def test_a_request_that_would_be_late_is_refused_as_it_arrives():
+    scheduler = _filled()
+    found = [scheduler.submit(_ask(f'n{i}', 0.0), 0.0) for i in range(40)]
+    refused = [each for each in found if isinstance(each, rooms.Refused)]
+    assert len(refused) >= 20
+    waits = [each.wait for each in refused]
+    assert waits == sorted(waits)
+    assert waits[0] < rooms.RETRY_MOST_SECONDS <= waits[-1]
+
+
+def test_a_request_that_returned_may_wait_as_long_as_its_caller():
+    scheduler = _filled()
+    for i in range(40):
+        scheduler.submit(_ask(f'n{i}', 0.0), 0.0)
+    back = _ask('back', 0.0, has_returned=True)
+    assert scheduler.submit(back, 0.0) is None
+
+
+def test_those_that_returned_go_before_others_that_are_late():
+    scheduler = _filled()
+    late = _ask('late', 0.0, objective=0.0, has_returned=True)
+    back = late._replace(lease='back', deadline=late.deadline - 1.0)
+    assert scheduler.submit(late, 0.0) is None
+    assert scheduler.submit(back, 0.0) is None
+    assert [a.lease for a in scheduler._in_order(0.1)][-2:] == ['back', 'late']
