--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -12,8 +12,8 @@
 the room that the next clump needs.
 
 A new request that would not be placed in time for its objective is refused
-as it arrives, while it can still be told to return after the burst. One that
-has returned may wait as long as its caller does: it would hardly come again.
+as it arrives, or once that turns out, while it can still be told to return
+after the burst. One that has returned may wait as long as its caller does: it would hardly come again.
 Those that are told to return are spread over the capacity that fresh
 requests leave, one after another.
 """
@@ -38,10 +38,10 @@
 OVERDUE_SHARE = 0.25  # of its length that an answer past its length may add
 SMOOTHING = 0.1  # weight of the newest measurement
 NEAR_BONUS = 0.08  # of memory: a transfer in a data centre costs half
-RETRY_FLOOR_SECONDS = 0.4  # shortest time to come back
+RETRY_FLOOR_SECONDS = 1.5  # shortest time to come back to a backlog
 RETRY_MOST_SECONDS = 5.0  # longest; callers wait no longer on our word
 RETRY_NO_ENGINE_SECONDS = 1.0  # to come back where no engine is registered
-RETURN_SHARE = 0.4  # of the capacity, which those who return may count on
+RETURN_SHARE = 0.2  # of the capacity, which those who return may count on
 
 
 class Ask(NamedTuple):
@@ -285,14 +285,17 @@
                 wait = self._come_back(ask, now)
                 decided.append((ask, Refused(wait, 'no room in time')))
                 continue
-            if any(_is_as_hard(ask, other) for other in failed):
-                continue
-            placed = self._place(ask, now, runs_by_engine)
-            if placed is None:
+            if not any(_is_as_hard(ask, other) for other in failed):
+                placed = self._place(ask, now, runs_by_engine)
+                if placed is not None:
+                    del self._waiting_by_id[ask.lease]
+                    decided.append((ask, placed))
+                    continue
                 failed.append(ask)
-                continue
-            del self._waiting_by_id[ask.lease]
-            decided.append((ask, placed))
+            if self._is_late(ask, now) and not ask.has_returned:
+                del self._waiting_by_id[ask.lease]
+                wait = self._come_back(ask, now)
+                decided.append((ask, Refused(wait, 'no room on time')))
         return decided
 
     def withdraw(self, lease: str) -> None:
