Refuse requests with a length and a coding; date answers once

A process that stopped logged a failed service, because pynng reports a cancelled receive as closed. Change: every server refuses such heads and adds a date only where none is. Before: the new cases of test_server failed.

--- a/corianderspar/channel.py
+++ b/corianderspar/channel.py
@@ -130,7 +130,13 @@
     async def receive(self) -> bytes:
         """Return the next message."""
         assert self._listener is not None, 'the channel is not open'
-        return await self._listener.arecv()
+        try:
+            return await self._listener.arecv()
+        except pynng.Closed as error:
+            if self._listener is not None:
+                raise
+            # pynng raises this in a task that is cancelled after `close`.
+            raise asyncio.CancelledError from error
 
     async def _serve_peer(
         self, address: str, queue: asyncio.Queue[bytes]
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -100,9 +100,7 @@
         self._fleet = self.app.find('fleet', fleet.Fleet)
         self._beliefs = self.app.find('beliefs', beliefs.Beliefs)
         self._telemetry = self.app.find('telemetry', telemetry.Telemetry)
-        self._callers = server.HttpServer(
-            self._front, settings.callers, with_date=False
-        )
+        self._callers = server.HttpServer(self._front, settings.callers)
         self._small = [
             server.HttpServer(_Page(self._readiness), settings.readiness),
             server.HttpServer(_Page(self._metrics), settings.metrics),
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -13,9 +13,9 @@
 
 A new request that would not be placed in time for its objective is refused
 as it arrives, or once that turns out, while it can still be told to return
-after the burst. One that has returned may wait as long as its caller does: it would hardly come again.
-Those that are told to return are spread over the capacity that fresh
-requests leave, one after another.
+after the burst. One that has returned may wait as long as its caller does:
+it would hardly come again. Those that are told to return are spread over the
+capacity that fresh requests leave, one after another.
 """
 
 import collections
--- a/corianderspar/server.py
+++ b/corianderspar/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+from email import utils
 import socket
 from typing import Any
 
@@ -21,6 +22,51 @@
         yield
 
 
+class _Guard:
+    """Refuses ambiguous requests, and dates answers that have no date.
+
+    A request with a length and a coding may be cut differently by whatever
+    stands before us (RFC 9112, 6.1). An answer that is passed on keeps the
+    date of its origin (RFC 9110, 6.6.1), so uvicorn must not add one.
+    """
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope['type'] != 'http':
+            await self._app(scope, receive, send)
+            return
+
+        async def dated(message: Any) -> None:
+            if message['type'] == 'http.response.start':
+                headers = list(message.get('headers', ()))
+                if all(name.lower() != b'date' for name, _ in headers):
+                    now = utils.formatdate(usegmt=True).encode()
+                    headers.append((b'date', now))
+                message = message | {'headers': headers}
+            await send(message)
+
+        names = {name for name, _value in scope['headers']}
+        if {b'content-length', b'transfer-encoding'} <= names:
+            await _refuse(dated)
+            return
+        await self._app(scope, receive, dated)
+
+
+async def _refuse(send: Any) -> None:
+    text = b'a request has a length or a coding, not both\n'
+    headers = [
+        (b'content-type', b'text/plain'),
+        (b'content-length', b'%d' % len(text)),
+        (b'connection', b'close'),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': 400, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': text})
+
+
 class HttpServer:
     """Serves an ASGI application on one address.
 
@@ -35,8 +81,6 @@
         then holds for new connections.
     header_bytes : int
         Longest head of a request.
-    with_date : bool
-        Whether answers get a date; not where an upstream's are passed on.
     """
 
     def __init__(
@@ -45,12 +89,10 @@
         address: str,
         idle_seconds: float = IDLE_SECONDS,
         header_bytes: int = HEADER_BYTES,
-        with_date: bool = True,
     ) -> None:
         self.address = address
         self.idle_seconds = idle_seconds
         self._header_bytes = header_bytes
-        self._with_date = with_date
         self.app = app
         self._listener: socket.socket | None = None
         self._server: _Server | None = None
@@ -73,7 +115,7 @@
         self.bind()
         assert self._listener is not None
         config = uvicorn.Config(
-            self.app,
+            _Guard(self.app),
             loop='asyncio',
             http='h11',
             ws='none',
@@ -84,7 +126,7 @@
             server_header=False,
             h11_max_incomplete_event_size=self._header_bytes,
             timeout_keep_alive=self.idle_seconds,  # type: ignore[arg-type]
-            date_header=self._with_date,
+            date_header=False,
             backlog=BACKLOG,
         )
         self._config = config
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -192,6 +192,7 @@
             assert await world.process.wait() == 0
         await world.reading
         assert b'event=daemon.stopped' in world.output
+        assert b'event=service.failed' not in world.output
         assert b'k1' not in world.output
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -9,15 +9,21 @@
 HEAD = b'POST /x HTTP/1.1\r\nhost: a\r\n'
 
 
-async def exchange(raw):
+async def exchange(raw, dates=()):
     """Return the first line that comes back, and the requests served."""
+    line, served, _head = await whole(raw, dates)
+    return line, served
+
+
+async def whole(raw, dates=()):
     served = []
 
     async def app(scope, receive, send):
         message = await receive()
         served.append(message.get('body', b''))
-        start = {'type': 'http.response.start', 'status': 200, 'headers': []}
-        await send(start)
+        start = {'type': 'http.response.start', 'status': 200}
+        headers = [(b'date', date) for date in dates]
+        await send(start | {'headers': headers})
         await send({'type': 'http.response.body', 'body': b''})
 
     one = server.HttpServer(app, '127.0.0.1:0')
@@ -27,9 +33,10 @@
     writer.write(raw)
     writer.write_eof()
     line = await reader.readline()
+    head = await reader.readuntil(b'\r\n\r\n')
     writer.close()
     await one.abort()
-    return line, served
+    return line, served, head
 
 
 @pytest.mark.parametrize(
@@ -38,6 +45,8 @@
         HEAD + b'content-length: 3\r\ncontent-length: 4\r\n\r\nabcd',
         HEAD + b'content-length: 3\r\nx : y\r\n\r\nabc',
         HEAD + b'transfer-encoding: chunked, gzip\r\n\r\n0\r\n\r\n',
+        HEAD
+        + b'content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n',
         HEAD + b'content-length: -1\r\n\r\n',
         HEAD + b'x: ' + b'y' * (1 << 20) + b'\r\n\r\n',
         b'nonsense\r\n\r\n',
@@ -54,3 +63,10 @@
     line, served = asyncio.run(exchange(raw))
     assert line.startswith(b'HTTP/1.1 200')
     assert served == [b'abc']
+
+
+@pytest.mark.parametrize('dates', [(), (b'Fri, 04 Dec 2026 01:02:03 GMT',)])
+def test_an_answer_has_one_date_and_that_of_its_origin(dates):
+    _line, _served, head = asyncio.run(whole(HEAD + b'\r\n', dates))
+    assert head.lower().count(b'date:') == 1
+    assert all(date in head for date in dates)
