--- a/corianderspar/server.py
+++ b/corianderspar/server.py
@@ -150,7 +150,9 @@
         if self._server is None or self._task is None:
             return
         self._server.should_exit = True
-        await self._task
+        # A caller that waits no longer must not end the server's task, which
+        # `abort` still needs.
+        await asyncio.shield(self._task)
 
     async def abort(self) -> None:
         """Close at once, as a killed process would."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -15,7 +15,7 @@
             'host': 'h.example',
             'prefix': '/chat/',
             'kind': 'streaming',
-            'timeout_ms': 5000,
+            'timeout_ms': 14000,
             'goal_ms': 900,
             'priority': 1,
             'service': 'llm',
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,6 +9,7 @@
 import sys
 
 import httpx
+import pytest
 
 from tests.platform import standins
 
@@ -40,6 +41,11 @@
     'x-api-key': 'k1',
     'x-deadline-ms': '4000',
 }
+CHAT_LONG = {
+    **HEADERS,
+    'x-deadline-ms': '14000',
+    'x-token-count': '1460,80',
+}
 CHAT = {**HEADERS, 'x-token-count': '1460,80', 'x-model': 'm'}
 
 
@@ -196,6 +202,23 @@
         assert b'k1' not in world.output
 
 
+async def test_a_stream_that_outlasts_the_grace_looks_broken(tmp_path):
+    async with World(tmp_path) as world:
+        for name in ('d1', 'd2'):
+            world.engines_by_name[name].events = 1000
+        running = asyncio.create_task(world.post('/chat/1', CHAT_LONG))
+        await asyncio.sleep(0.2)
+        world.process.send_signal(signal.SIGTERM)
+        with pytest.raises(httpx.TransportError):
+            await running
+        async with asyncio.timeout(SECONDS):
+            assert await world.process.wait() == 0
+        await world.reading
+        assert b'event=daemon.cutting' in world.output
+        assert b'event=daemon.stopped' in world.output
+        assert b'Traceback' not in world.output
+
+
 async def test_sighup_takes_new_seeds(tmp_path):
     async with World(tmp_path) as world:
         text = world.path.read_text()
