Never refuse a stream that has begun for a backlog

Change: such a request goes before new ones and waits as long as its caller does for the next event. Before: the new test failed ('broken off: backlog').

--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -154,19 +154,26 @@
         work.stage = 'waiting for room'
         route = work.matched.route
         patience = work.remaining(now)
-        if not work.exchange.status:
+        objective = work.arrived + route.objective - now
+        has_begun = work.exchange.status != 0
+        if has_begun:
+            # Without room the answer is lost: it goes before new ones for as
+            # long as its caller waits for the next event.
+            patience = objective = min(patience, route.patience)
+        else:
             patience = min(patience, work.arrived + route.patience - now)
-        if work.exchange.closing:
+        if work.exchange.closing and not has_begun:
             patience = min(patience, LEAVING_SECONDS)
         room = await self._placement.acquire(
             work.matched.service.name,
             (sizes.prompt, sizes.expected),
             work.priority,
-            work.arrived + route.objective - now,
+            objective,
             patience,
             excluded,
             is_read,
             work.has_returned,
+            has_begun,
         )
         waited = self._app.clock.monotonic() - now
         if isinstance(room, rooms.Refused):
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -40,7 +40,7 @@
         Of the asker.
     excluded : tuple of str
         Instances that failed this request.
-    is_read, has_returned : bool
+    is_read, has_returned, has_begun : bool
         As in `rooms.Ask`.
     """
 
@@ -55,6 +55,7 @@
     excluded: tuple[str, ...]
     is_read: bool = False
     has_returned: bool = False
+    has_begun: bool = False
 
 
 class RoomAnswer(NamedTuple):
@@ -153,6 +154,7 @@
         excluded: tuple[str, ...] = (),
         is_read: bool = False,
         has_returned: bool = False,
+        has_begun: bool = False,
     ) -> Room | rooms.Refused:
         """Get engines for a request; waits as long as the home says.
 
@@ -168,7 +170,7 @@
             Seconds from now.
         excluded : tuple of str
             Instances that failed this request.
-        is_read, has_returned : bool
+        is_read, has_returned, has_begun : bool
             As in `rooms.Ask`.
         """
         self._sequence += 1
@@ -185,6 +187,7 @@
             excluded,
             is_read,
             has_returned,
+            has_begun,
         )
         home = self._home(service)
         waiting: asyncio.Future[RoomAnswer] = (
@@ -320,6 +323,7 @@
             want.excluded,
             want.is_read,
             want.has_returned,
+            want.has_begun,
         )
         decision = scheduler.submit(ask, now)
         if decision is None:
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -70,6 +70,9 @@
         Whether an engine keeps its prompt already.
     has_returned : bool
         Whether its caller was refused before.
+    has_begun : bool
+        Whether its caller has a part of the answer; it is refused only when
+        its time is over.
     output : int
         Tokens of the answer as the scheduler predicts them.
     """
@@ -86,6 +89,7 @@
     excluded: tuple[str, ...] = ()
     is_read: bool = False
     has_returned: bool = False
+    has_begun: bool = False
     output: int = 0
 
     @property
@@ -269,7 +273,7 @@
             if placed is not None:
                 return placed
         wait = self.expected_wait(ask, now)
-        if wait > self._patience(ask, now):
+        if not ask.has_begun and wait > self._patience(ask, now):
             return Refused(self._come_back(ask, now), 'backlog')
         self._waiting_by_id[ask.lease] = ask
         return None
@@ -292,7 +296,8 @@
                     decided.append((ask, placed))
                     continue
                 failed.append(ask)
-            if self._is_late(ask, now) and not ask.has_returned:
+            can_return = not ask.has_returned and not ask.has_begun
+            if can_return and self._is_late(ask, now):
                 del self._waiting_by_id[ask.lease]
                 wait = self._come_back(ask, now)
                 decided.append((ask, Refused(wait, 'no room on time')))
--- a/tests/router/test_front.py
+++ b/tests/router/test_front.py
@@ -350,3 +350,27 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     play(main)
+
+
+def test_a_stream_that_broke_waits_for_room_rather_than_end():
+    async def main(world):
+        found = system.configuration(2)
+        small = model.EngineLimits(64, 5000)
+        services = found.services_by_name | {
+            'llm': model.Service('llm', small)
+        }
+        world.store.publish(found._replace(services_by_name=services))
+        await asyncio.sleep(0.1)
+        behaviours = world.calls.behaviours_by_instance
+        for name in ('d1', 'd2'):
+            behaviours[name] = twins.Behaviour(events=30, event_seconds=0.05)
+        other = asyncio.create_task(world.ask('vm1', '/chat/o', sizes=SIZES))
+        await asyncio.sleep(0.2)
+        busy = next(i for kind, i in world.calls.kinds() if kind == 'decode')
+        free = 'd2' if busy == 'd1' else 'd1'
+        behaviours[free] = twins.Behaviour(events=30, breaks_after=4)
+        answer = await world.ask('vm1', '/chat/x', sizes=SIZES)
+        assert answer.ended and answer.body.count(b'id: ') == 30
+        assert (await other).ended
+
+    play(main, retry_slack=40.0)
