--- a/tests/test_errors_page.py
+++ b/tests/test_errors_page.py
@@ -14,6 +14,8 @@
     '_refuse',
     '_refusal',
     '_failed',
+    'refused',
+    '_refused',
 }
 CODE = re.compile(r'^[a-z]+(_[a-z]+)*$')
 
@@ -36,7 +38,7 @@
         )
     )
     used = {f'upstream_{code}' for code in calls.STATUSES_BY_CODE}
-    for path in sorted((ROOT / 'corianderspar').glob('*.py')):
+    for path in sorted((ROOT / 'corianderspar').rglob('*.py')):
         if not path.name.startswith('naive_'):
             used.update(codes_in(path))
     assert used - documented == set()
