One way to find homes; metrics of sends, first events and beliefs

Cause: the choice of a home that answers stood in two services; the metrics page had no sends, no time to the first event, no age of the store's word.

--- a/corianderspar/router/allowance.py
+++ b/corianderspar/router/allowance.py
@@ -13,13 +13,12 @@
 
 from corianderspar import kernel
 from corianderspar import peers
-from corianderspar import rendezvous
 from corianderspar.router import fleet
+from corianderspar.router import homes
 from corianderspar.router import model
 from corianderspar.router import quota
 
 ASK_SECONDS = 0.12  # for a home's answer; 40 times the way
-SILENT_SECONDS = 0.5  # a home that did not answer is not asked again
 
 
 class WantTokens(NamedTuple):
@@ -53,7 +52,6 @@
 
     def __init__(self, slack: float) -> None:
         self._quota = quota.Quota(slack)
-        self._silent_until: dict[str, float] = {}
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to tell and hear totals, and to answer as a home."""
@@ -62,6 +60,7 @@
         self._peers.handle('want_tokens', WantTokens, self._answer)
         self._peers.reply_type('tokens', TokensAnswer)
         self._fleet = app.find('fleet', fleet.Fleet)
+        self._homes = homes.Homes(app, self._fleet)
         self._fleet.section('quota', self._provide, self._accept)
         self._fleet.on_ended.append(self._quota.forget)
 
@@ -89,24 +88,13 @@
 
     async def _ask(self, want: WantTokens) -> TokensAnswer | None:
         """Ask the home; None if that is this daemon, or it is silent."""
-        now = self._app.clock.monotonic()
-        live = [
-            vm
-            for vm in self._fleet.live()
-            if self._silent_until.get(vm, 0.0) <= now
-        ]
-        home = rendezvous.home(f'account/{want.account}', live)
-        if home is None or home == self._app.identity.vm:
+        key = f'account/{want.account}'
+        home = self._homes.of(key)
+        if home == self._app.identity.vm:
             return None
         reply = await self._peers.ask(home, want, ASK_SECONDS)
         if reply.is_error():
-            self._silent_until[home] = now + SILENT_SECONDS
-            self._app.events.add(
-                'allowance.home_silent',
-                home=home,
-                account=want.account,
-                why=reply.error.code,
-            )
+            self._homes.note_silent(home, key, reply.error.code)
             return None
         answer: TokensAnswer = reply.ok
         return answer
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -100,6 +100,7 @@
         self._fleet = self.app.find('fleet', fleet.Fleet)
         self._beliefs = self.app.find('beliefs', beliefs.Beliefs)
         self._telemetry = self.app.find('telemetry', telemetry.Telemetry)
+        self._add_gauges()
         self._callers = server.HttpServer(self._front, settings.callers)
         self._small = [
             server.HttpServer(_Page(self._readiness), settings.readiness),
@@ -151,6 +152,25 @@
             self._fleet.seeds = list(seeds)
             self.app.events.add('daemon.reloaded', seeds=','.join(seeds))
 
+    def _add_gauges(self) -> None:
+        def version() -> float:
+            found = self._beliefs.configuration
+            return found.version if found else 0
+
+        for name, text, read in (
+            ('configuration_version', 'Version in force; 0: none.', version),
+            ('proof_age_seconds', 'Age of its proof.', self._beliefs.age),
+            ('daemons_heard', 'Share, 0 to 1.', self._fleet.heard_share),
+            ('daemons_known', 'With this one.', self._fleet.size),
+            ('store_calls', 'Calls made.', lambda: self._beliefs.calls),
+            (
+                'upstream_connections',
+                'Connections opened.',
+                lambda: self._pool.opened,
+            ),
+        ):
+            self._telemetry.gauge(f'corianderspar_router_{name}', text, read)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -13,6 +13,7 @@
 from corianderspar.router import quarantine
 from corianderspar.router import retries
 from corianderspar.router import rooms
+from corianderspar.router import telemetry
 from corianderspar.router import upstreams
 from corianderspar.router import work as works
 
@@ -78,6 +79,7 @@
         'placement',
         'quarantine',
         'retries',
+        'telemetry',
     )
 
     def __init__(self, calls: upstreams.UpstreamCalls) -> None:
@@ -90,6 +92,7 @@
         self._placement = app.find('placement', placement.Placement)
         self._quarantine = app.find('quarantine', quarantine.Quarantine)
         self._retries = app.find('retries', retries.Retries)
+        self._telemetry = app.find('telemetry', telemetry.Telemetry)
 
     async def stop(self) -> None:
         """Nothing to hand on."""
@@ -246,15 +249,18 @@
                 )
         except TimeoutError:
             self._placement.note(room, 'silent', engine.instance)
+            self._telemetry.sent('prefill', False)
             self._log_send(work, engine, began, 'prefill', 'silent')
             return _Round(False, 'prefill silent', engine.instance)
         if result.is_error():
             failure = result.error
             if failure.fault is not upstreams.Fault.REFUSED:
                 self._placement.note(room, 'silent', engine.instance)
+            self._telemetry.sent('prefill', False)
             self._log_send(work, engine, began, 'prefill', failure.detail)
             return _Round(False, failure.detail, engine.instance)
         self._placement.note(room, 'read')
+        self._telemetry.sent('prefill', True)
         self._log_send(work, engine, began, 'prefill', 'ok')
         limits = work.matched.service.engine
         hold = limits.hold_seconds if limits else 0.0
@@ -292,6 +298,7 @@
             is_open = False
         except TimeoutError:
             self._placement.note(room, 'silent', engine.instance)
+            self._telemetry.sent('decode', False)
             self._log_send(work, engine, began, 'decode', 'silent')
             return _Round(False, 'decode silent', engine.instance)
         finally:
@@ -301,6 +308,7 @@
             return self._decode_failed(
                 work, room, engine, result.error, began, kept
             )
+        self._telemetry.sent('decode', True)
         answer = result.ok
         try:
             if answer.status != 200 or not answer.is_genuine:
@@ -318,6 +326,7 @@
         began: float,
         kept: _Kept | None,
     ) -> _Round:
+        self._telemetry.sent('decode', False)
         self._log_send(work, engine, began, 'decode', failure.detail)
         name = engine.instance
         if failure.fault is upstreams.Fault.BROKEN:
@@ -385,6 +394,8 @@
                 if not pieces:
                     continue
                 if not work.exchange.status:
+                    now = self._app.clock.monotonic()
+                    self._telemetry.first_event(now - work.arrived)
                     await work.exchange.begin(200, answer.headers)
                 content = b''.join(piece.content for piece in pieces)
                 await work.exchange.write(content)
--- a/corianderspar/router/front.py
+++ b/corianderspar/router/front.py
@@ -297,7 +297,7 @@
 
     def _log(self, work: works.Work, ending: str) -> None:
         now = self._app.clock.monotonic()
-        self._telemetry.ended(work, now - work.arrived, ending)
+        self._telemetry.ended(work, now - work.arrived)
         self._app.events.add(
             'request.ended',
             request=work.request.request_id,
--- /dev/null
+++ b/corianderspar/router/homes.py
@@ -0,0 +1,43 @@
+"""Which daemon is home of a key, passing over those that do not answer."""
+
+from corianderspar import kernel
+from corianderspar import rendezvous
+from corianderspar.router import fleet
+
+SILENT_SECONDS = 0.5  # a home that did not answer is not asked again
+
+
+class Homes:
+    """Homes by rendezvous hashing over the daemons that are heard.
+
+    Each user has its own: a daemon may be too slow for one and not for
+    another.
+
+    Parameters
+    ----------
+    app : Application
+        Gives the clock, the log and this daemon's name.
+    view : Fleet
+        Says who is heard.
+    """
+
+    def __init__(self, app: kernel.Application, view: fleet.Fleet) -> None:
+        self._app = app
+        self._fleet = view
+        self._silent_until: dict[str, float] = {}
+
+    def of(self, key: str) -> str:
+        """Return the VM that is home of a key; this one if all are silent."""
+        now = self._app.clock.monotonic()
+        live = [
+            vm
+            for vm in self._fleet.live()
+            if self._silent_until.get(vm, 0.0) <= now
+        ]
+        return rendezvous.home(key, live) or self._app.identity.vm
+
+    def note_silent(self, home: str, key: str, why: str) -> None:
+        """Pass a home over for a while, since it gave no answer."""
+        now = self._app.clock.monotonic()
+        self._silent_until[home] = now + SILENT_SECONDS
+        self._app.events.add('home.silent', home=home, key=key, why=why)
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -13,16 +13,15 @@
 
 from corianderspar import kernel
 from corianderspar import peers
-from corianderspar import rendezvous
 from corianderspar.router import beliefs
 from corianderspar.router import fleet
+from corianderspar.router import homes
 from corianderspar.router import rooms
 
 ANSWER_SECONDS = 0.15  # for a home to say that it heard; 50 times the way
 PUMP_SECONDS = 0.05  # between looks at requests whose time runs out
 LEASE_SECONDS = 30.0  # no request lasts longer
 ENDS = ('whole', 'ended')
-SILENT_SECONDS = 0.5  # a home that did not answer is not asked again
 
 
 class WantRoom(NamedTuple):
@@ -124,7 +123,6 @@
         self._rooms_by_service: dict[str, rooms.Rooms] = {}
         self._owners_by_lease: dict[str, str] = {}
         self._answers_by_lease: dict[str, asyncio.Future[RoomAnswer]] = {}
-        self._silent_until: dict[str, float] = {}
         self._sequence = 0
 
     async def start(self, app: kernel.Application) -> None:
@@ -132,6 +130,7 @@
         self._app = app
         self._fleet = app.find('fleet', fleet.Fleet)
         self._beliefs = app.find('beliefs', beliefs.Beliefs)
+        self._homes = homes.Homes(app, self._fleet)
         self._peers = app.find('peers', peers.Peers)
         self._peers.handle('want_room', WantRoom, self._answer)
         self._peers.handle('room', RoomAnswer, self._hear_answer)
@@ -189,7 +188,7 @@
             has_returned,
             has_begun,
         )
-        home = self._home(service)
+        home = self.home(service)
         waiting: asyncio.Future[RoomAnswer] = (
             asyncio.get_running_loop().create_future()
         )
@@ -222,6 +221,10 @@
             room.home, RoomNews(room.service, room.lease, event, instance)
         )
 
+    def home(self, service: str) -> str:
+        """Return the VM that is home of a service."""
+        return self._homes.of(service)
+
     def scheduler(self, service: str) -> rooms.Rooms | None:
         """Return this daemon's scheduler of a service."""
         known = self._rooms_by_service.get(service)
@@ -243,16 +246,6 @@
         member = self._fleet.members().get(vm)
         return member.incarnation if member else ''
 
-    def _home(self, service: str) -> str:
-        now = self._app.clock.monotonic()
-        live = [
-            vm
-            for vm in self._fleet.live()
-            if self._silent_until.get(vm, 0.0) <= now
-        ]
-        own = self._app.identity.vm
-        return rendezvous.home(service, live) or own
-
     async def _ask(
         self,
         home: str,
@@ -267,14 +260,7 @@
             reply = await self._peers.ask(home, want, ANSWER_SECONDS)
             if reply.is_error():
                 # It may still have given room, which it frees on this news.
-                now = self._app.clock.monotonic()
-                self._silent_until[home] = now + SILENT_SECONDS
-                self._app.events.add(
-                    'placement.home_silent',
-                    home=home,
-                    service=want.service,
-                    why=reply.error.code,
-                )
+                self._homes.note_silent(home, want.service, reply.error.code)
                 self._tell(home, RoomNews(want.service, want.lease, 'ended'))
                 home = own
                 answer = self._decide(want, str(self._app.incarnation), own)
--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -12,6 +12,7 @@
 from corianderspar.router import model
 from corianderspar.router import retries
 from corianderspar.router import selection
+from corianderspar.router import telemetry
 from corianderspar.router import upstreams
 from corianderspar.router import work as works
 
@@ -38,7 +39,7 @@
     """
 
     name = 'plain_calls'
-    requires: tuple[str, ...] = ('beliefs', 'retries')
+    requires: tuple[str, ...] = ('beliefs', 'retries', 'telemetry')
 
     def __init__(self, calls: upstreams.UpstreamCalls) -> None:
         self._calls = calls
@@ -48,6 +49,7 @@
         self._app = app
         self._beliefs = app.find('beliefs', beliefs.Beliefs)
         self._retries = app.find('retries', retries.Retries)
+        self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._selection = selection.Selection(app.identity.data_centre)
         self._beliefs.on_upstreams.append(self._refresh)
 
@@ -138,6 +140,7 @@
             work.ran_on -= 1
         if fault is upstreams.Fault.NOT_SENT:
             self._selection.unreachable(upstream, now)
+        self._telemetry.sent('plain', fault is None)
         self._app.events.add(
             'request.sent',
             request=work.request.request_id,
--- a/corianderspar/router/telemetry.py
+++ b/corianderspar/router/telemetry.py
@@ -38,6 +38,19 @@
             registry=self.registry,
         )
 
+        self._first_event = prometheus.Histogram(
+            'corianderspar_router_first_event_seconds',
+            'Seconds from the head of a request to its first event.',
+            buckets=metrics.SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self._sends = prometheus.Counter(
+            'corianderspar_router_sends',
+            'Sends to upstreams by stage and whether an answer came.',
+            ('stage', 'answered'),
+            registry=self.registry,
+        )
+
     async def start(self, app: kernel.Application) -> None:
         """Nothing to start: others count."""
 
@@ -53,7 +66,15 @@
         """Count an answer of our own."""
         self._refusals.labels(problem.code, problem.ran).inc()
 
-    def ended(self, work: works.Work, seconds: float, _ending: str) -> None:
+    def sent(self, stage: str, answered: bool) -> None:
+        """Count a send to an upstream."""
+        self._sends.labels(stage, str(answered).lower()).inc()
+
+    def first_event(self, seconds: float) -> None:
+        """Count the first event of an answer."""
+        self._first_event.observe(seconds)
+
+    def ended(self, work: works.Work, seconds: float) -> None:
         """Count a request that ended."""
         kind = 'engine' if work.matched.service.engine else 'plain'
         self._requests.labels(kind, str(work.exchange.status)).inc()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -157,7 +157,13 @@
         bad = HEADERS | {'x-api-key': 'nobody'}
         assert (await world.post('/order/1', bad)).status_code == 401
         page = await world.client.get(world.url('metrics', '/metrics'))
-        assert 'corianderspar_router_requests_total' in page.text
+        for line in (
+            'corianderspar_router_requests_total{kind="plain",status="200"} 1',
+            'corianderspar_router_sends_total{answered="true",stage="decode"}',
+            'corianderspar_router_first_event_seconds_count 1.0',
+            'corianderspar_router_configuration_version 3.0',
+        ):
+            assert line in page.text
 
 
 async def test_a_stream_goes_on_at_the_other_engine(tmp_path):
--- a/tests/router/test_front.py
+++ b/tests/router/test_front.py
@@ -314,7 +314,7 @@
 
 def test_the_home_of_a_service_may_die():
     async def main(world):
-        home = world.placement('vm1')._home('llm')
+        home = world.placement('vm1').home('llm')
         other = next(vm for vm in world.apps_by_vm if vm != home)
         assert (await world.ask(other, '/chat/x', sizes=SIZES)).ended
         await world.kill(home)
@@ -332,7 +332,7 @@
         long = twins.Behaviour(events=200)
         for name in ('d1', 'd2'):
             world.calls.behaviours_by_instance[name] = long
-        home = world.placement('vm1')._home('llm')
+        home = world.placement('vm1').home('llm')
         other = next(vm for vm in world.apps_by_vm if vm != home)
         tasks = [
             asyncio.create_task(world.ask(other, '/chat/x', sizes=SIZES))
@@ -342,7 +342,7 @@
         await world.kill(home)
         await asyncio.sleep(2.5)
         assert (await world.ask(other, '/once/x', sizes=SIZES)).status == 200
-        after = world.placement(other)._home('llm')
+        after = world.placement(other).home('llm')
         scheduler = world.placement(after).scheduler('llm')
         assert sum(map(len, scheduler._runs(0.0).values())) >= 4
         for task in tasks:
