Ignore beats of replaced runs; free a kept prompt whose caller leaves

A beat held up by a cut and delivered after its VM had started anew was taken for a third run: the live one's leases were dropped and its granted tokens taken out twice. A prompt kept for a second decode engine was not freed if the caller left while it waited for room. Before: both new tests failed.

--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -117,9 +117,13 @@
             if number and not self._may_go_on(work):
                 break
             kept = self._usable(ended.kept)
-            room = await self._room(work, excluded, kept is not None)
+            room: placement.Room | rooms.Refused | None = None
+            try:
+                room = await self._room(work, excluded, kept is not None)
+            finally:
+                if not isinstance(room, placement.Room):
+                    self._release(kept)
             if isinstance(room, rooms.Refused):
-                self._release(kept)
                 raise work.refused('no_room', room.why, room.wait)
             ended = _Round(False)
             try:
--- a/corianderspar/router/fleet.py
+++ b/corianderspar/router/fleet.py
@@ -18,6 +18,7 @@
 NAMED_PER_BEAT = 8  # members named in a heartbeat; it must stay small
 REDIAL_SECONDS = 2.0  # between new connections to one silent peer
 MEMBERS_MOST = 1024
+ENDED_KEPT = 1024  # incarnations that a later one of their VM replaced
 SEED = 'seed:'
 
 
@@ -118,6 +119,9 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._address = address
         self._members_by_vm: dict[str, Member] = {}
+        self._ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._provide_by_section: dict[str, Provide] = {}
         self._accept_by_section: dict[str, Accept] = {}
 
@@ -223,11 +227,18 @@
         if known is None and len(self._members_by_vm) >= MEMBERS_MOST:
             self.counts['too_many'] += 1
             return
+        if sender.incarnation in self._ended:
+            # Held up on its way, while its VM started anew.
+            self.counts['ended'] += 1
+            return
         now = self._app.clock.monotonic()
         if known is not None and known.address != beat.address:
             self._peers.disconnect(sender.vm)
         is_new = known is None or known.incarnation != sender.incarnation
         if known is not None and known.incarnation and is_new:
+            self._ended[known.incarnation] = None
+            if len(self._ended) > ENDED_KEPT:
+                self._ended.popitem(last=False)
             self._end(known.incarnation)
         was_heard = self.is_heard(sender.vm)
         self._members_by_vm[sender.vm] = Member(
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from corianderspar import clock
+from corianderspar import peers
 from corianderspar.router import fleet
 from tests.router import system
 
@@ -90,3 +91,38 @@
         assert world.fleet('vm2').live() == ['vm1']
 
     clock.run_virtual(main())
+
+
+def test_a_late_beat_of_an_earlier_run_changes_nothing():
+    async def main():
+        world = system.System()
+        await world.start_all(2)
+        await asyncio.sleep(3.0)
+        held = world.fleet('vm2')._beat('vm1')
+        old = peers.Sender('vm2', str(world.apps_by_vm['vm2'].incarnation))
+        await world.kill('vm2')
+        await world.start('vm2')
+        await asyncio.sleep(2.0)
+        ended = []
+        world.fleet('vm1').on_ended.append(ended.append)
+        await world.fleet('vm1')._hear(old, held)
+        new = str(world.apps_by_vm['vm2'].incarnation)
+        assert world.fleet('vm1').members()['vm2'].incarnation == new
+        assert ended == []
+
+    clock.run_virtual(main())
+
+
+def test_a_daemon_that_was_forgotten_may_come_back():
+    async def main():
+        world = system.System()
+        await world.start_all(2)
+        await asyncio.sleep(3.0)
+        world.network.partition({'vm1'}, {'vm2'})
+        await asyncio.sleep(fleet.FORGET_SECONDS + 5.0)
+        assert world.fleet('vm1').members() == {}
+        world.network.heal()
+        await asyncio.sleep(3.0)
+        assert world.fleet('vm1').live() == ['vm1', 'vm2']
+
+    clock.run_virtual(main())
--- a/tests/router/test_front.py
+++ b/tests/router/test_front.py
@@ -352,25 +352,54 @@
     play(main)
 
 
+def _one_run_an_engine(world):
+    found = system.configuration(2)
+    small = model.EngineLimits(64, 5000)
+    services = found.services_by_name | {'llm': model.Service('llm', small)}
+    world.store.publish(found._replace(services_by_name=services))
+
+
+async def _occupied(world):
+    """Keep one decode engine busy; return its task and the free engine."""
+    _one_run_an_engine(world)
+    await asyncio.sleep(0.1)
+    for name in ('d1', 'd2'):
+        world.calls.behaviours_by_instance[name] = twins.Behaviour(events=30)
+    other = asyncio.create_task(world.ask('vm1', '/chat/o', sizes=SIZES))
+    await asyncio.sleep(0.2)
+    busy = next(i for kind, i in world.calls.kinds() if kind == 'decode')
+    return other, 'd2' if busy == 'd1' else 'd1'
+
+
 def test_a_stream_that_broke_waits_for_room_rather_than_end():
     async def main(world):
-        found = system.configuration(2)
-        small = model.EngineLimits(64, 5000)
-        services = found.services_by_name | {
-            'llm': model.Service('llm', small)
-        }
-        world.store.publish(found._replace(services_by_name=services))
-        await asyncio.sleep(0.1)
-        behaviours = world.calls.behaviours_by_instance
-        for name in ('d1', 'd2'):
-            behaviours[name] = twins.Behaviour(events=30, event_seconds=0.05)
-        other = asyncio.create_task(world.ask('vm1', '/chat/o', sizes=SIZES))
-        await asyncio.sleep(0.2)
-        busy = next(i for kind, i in world.calls.kinds() if kind == 'decode')
-        free = 'd2' if busy == 'd1' else 'd1'
-        behaviours[free] = twins.Behaviour(events=30, breaks_after=4)
+        other, free = await _occupied(world)
+        world.calls.behaviours_by_instance[free] = twins.Behaviour(
+            events=30, breaks_after=4
+        )
         answer = await world.ask('vm1', '/chat/x', sizes=SIZES)
         assert answer.ended and answer.body.count(b'id: ') == 30
         assert (await other).ended
 
     play(main, retry_slack=40.0)
+
+
+def test_a_caller_that_leaves_while_its_kept_prompt_waits_has_it_freed():
+    async def main(world):
+        other, free = await _occupied(world)
+        world.calls.behaviours_by_instance[free] = twins.Behaviour(
+            fault=upstreams.Fault.NOT_SENT
+        )
+        exchange = world.exchange('vm1')
+        task = asyncio.create_task(
+            world.run(exchange, '/once/x', sizes='1500,300', time='9.6')
+        )
+        await asyncio.sleep(0.1)
+        assert not task.done() and not world.calls.released
+        exchange.leave()
+        await asyncio.sleep(0.05)
+        assert task.done()
+        assert len(world.calls.released) == 1
+        await other
+
+    play(main, retry_slack=40.0)
