Take back the margin before a caller leaves

Cause: refused requests 0.35 s before their callers would leave, on the word of one traced request. Change: a request is refused once the time left is shorter than reading its prompt and the first event take, at arrival as well as while it waits.

--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -30,7 +30,6 @@
 PREFILL_TOKENS_PER_SECOND = 30_000.0  # before anything was measured
 PREFILL_QUEUE_SECONDS = 0.3  # of prompts waiting at one prefill engine
 FIRST_EVENT_SECONDS = 0.12  # from a prompt that was read to its first event
-START_MARGIN_SECONDS = 0.35  # PREFILL_QUEUE_SECONDS, and the way to a caller
 FULL_SECONDS = 0.25  # an engine that said it is full is left alone
 SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
 DECODE_TOKENS_PER_SECOND = 300.0  # of one request, before measured
@@ -380,9 +379,7 @@
 
     def _patience(self, ask: Ask, now: float) -> float:
         """Return the longest expected wait with which a request may stay."""
-        until = ask.objective
-        if ask.has_returned:
-            until = ask.deadline - START_MARGIN_SECONDS
+        until = ask.deadline if ask.has_returned else ask.objective
         left = until - now - self._read_seconds(ask)
         return left * WAIT_SHARE
 
@@ -410,9 +407,8 @@
         return is_late, ask.rank, ask.deadline if is_late else ask.objective
 
     def _is_too_late(self, ask: Ask, now: float) -> bool:
-        """Return whether the caller may have left before the first event."""
-        start = now + self._read_seconds(ask) + START_MARGIN_SECONDS
-        return start >= ask.deadline
+        """Return whether the caller will have left before the first event."""
+        return now + self._read_seconds(ask) >= ask.deadline
 
     def _is_late(self, ask: Ask, now: float) -> bool:
         return now + self._read_seconds(ask) > ask.objective
