Send and take messages between daemons without calls that wait

Cause: a call of pynng that waits costs a callback from another thread, a future and a wake-up of the loop for each message on either side. Change: sending hands the message to the socket or drops it; taking follows the listener's descriptor and empties it. At most 64 messages wait for an absent peer, not 512: the rest would be old news.

--- a/corianderspar/channel.py
+++ b/corianderspar/channel.py
@@ -12,8 +12,9 @@
 
 from corianderspar import clock as clocks
 
-QUEUE_MESSAGES = 512
-SEND_TIMEOUT_MS = 2000
+QUEUE_MESSAGES = 64  # for one peer; more would be old news when it is back
+RECEIVE_MESSAGES = 512  # from all peers; as many as a large fleet may have
+TAKEN_AT_ONCE = 32  # messages, before other tasks get a turn
 
 
 class Channel(Protocol):
@@ -53,7 +54,11 @@
 
 
 class NngChannel:
-    """Messages over pynng push and pull sockets, one task per peer.
+    """Messages over pynng push and pull sockets, one socket per peer.
+
+    Sending never waits, and what has arrived is taken in one go once the
+    listener's descriptor says so: a call of pynng that waits costs three
+    times as much processor time for each message.
 
     Parameters
     ----------
@@ -75,8 +80,9 @@
         self._tls = tls
         self._queue_messages = queue_messages
         self._listener: pynng.Pull0 | None = None
-        self._queues_by_vm: dict[str, asyncio.Queue[bytes]] = {}
-        self._tasks_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._arrival = asyncio.Event()
+        self._taken = 0
+        self._sockets_by_vm: dict[str, pynng.Push0] = {}
 
     async def open(self) -> None:
         """Listen.
@@ -86,83 +92,71 @@
         pynng.NNGException
             If the address can't be had.
         """
-        socket = pynng.Pull0()
+        socket = pynng.Pull0(recv_buffer_size=RECEIVE_MESSAGES)
         if self._tls is not None:
             socket.tls_config = self._config(
                 pynng.TLSConfig.MODE_SERVER, self._tls
             )
         socket.listen(self._url(self._address))
         self._listener = socket
+        asyncio.get_running_loop().add_reader(
+            socket.recv_fd, self._arrival.set
+        )
 
     async def close(self) -> None:
         """Close all sockets."""
-        for vm in list(self._tasks_by_vm):
+        for vm in list(self._sockets_by_vm):
             self.disconnect(vm)
         if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener.recv_fd)
             self._listener.close()
             self._listener = None
 
     def connect(self, vm: str, address: str) -> None:
-        """Start the peer's task, unless it runs."""
-        if vm in self._tasks_by_vm:
+        """Begin to connect to the peer, unless that was done."""
+        if vm in self._sockets_by_vm:
             return
-        queue: asyncio.Queue[bytes] = asyncio.Queue(self._queue_messages)
-        self._queues_by_vm[vm] = queue
-        self._tasks_by_vm[vm] = asyncio.create_task(
-            self._serve_peer(address, queue), name=f'channel:{vm}'
-        )
+        socket = pynng.Push0(send_buffer_size=self._queue_messages)
+        if self._tls is not None:
+            socket.tls_config = self._config(
+                pynng.TLSConfig.MODE_CLIENT, self._tls, address
+            )
+        socket.dial(self._url(address), block=False)
+        self._sockets_by_vm[vm] = socket
 
     def disconnect(self, vm: str) -> None:
-        """End the peer's task."""
-        self._queues_by_vm.pop(vm, None)
-        task = self._tasks_by_vm.pop(vm, None)
-        if task is not None:
-            task.cancel()
+        """Close the peer's socket."""
+        socket = self._sockets_by_vm.pop(vm, None)
+        if socket is not None:
+            socket.close()
 
     def send(self, vm: str, payload: bytes) -> bool:
-        """Queue a message for the peer's task."""
-        queue = self._queues_by_vm.get(vm)
-        if queue is None or queue.full():
+        """Hand a message to the peer's socket."""
+        socket = self._sockets_by_vm.get(vm)
+        if socket is None:
+            return False
+        try:
+            socket.send(payload, block=False)
+        except pynng.TryAgain:
             return False
-        queue.put_nowait(payload)
         return True
 
     async def receive(self) -> bytes:
         """Return the next message."""
-        assert self._listener is not None, 'the channel is not open'
-        try:
-            return await self._listener.arecv()
-        except pynng.Closed as error:
-            if self._listener is not None:
-                raise
-            # pynng raises this in a task that is cancelled after `close`.
-            raise asyncio.CancelledError from error
-
-    async def _serve_peer(
-        self, address: str, queue: asyncio.Queue[bytes]
-    ) -> None:
-        socket = pynng.Push0(
-            send_timeout=SEND_TIMEOUT_MS, send_buffer_size=QUEUE_MESSAGES
-        )
-        if self._tls is not None:
-            socket.tls_config = self._config(
-                pynng.TLSConfig.MODE_CLIENT, self._tls, address
-            )
-        try:
-            socket.dial(self._url(address), block=False)
-            while True:
-                payload = await queue.get()
-                await self._send_one(socket, payload)
-        finally:
-            socket.close()
-
-    async def _send_one(self, socket: pynng.Push0, payload: bytes) -> None:
-        try:
-            await socket.asend(payload)
-        except pynng.Timeout:
-            # An unreachable peer: delivery is not promised, and what waits
-            # would be old news when it comes back.
-            return
+        while self._listener is not None:
+            try:
+                payload = self._listener.recv(block=False)
+            except pynng.TryAgain:
+                self._taken = 0
+                self._arrival.clear()
+                await self._arrival.wait()
+                continue
+            self._taken += 1
+            if self._taken % TAKEN_AT_ONCE == 0:
+                await asyncio.sleep(0)
+            return payload
+        # `close` ends this channel; the caller's task is being cancelled.
+        raise asyncio.CancelledError
 
     def _url(self, address: str) -> str:
         scheme = 'tcp' if self._tls is None else 'tls+tcp'
@@ -316,7 +310,7 @@
 
     def deliver(self, payload: bytes) -> None:
         """Take a message from the network; the oldest go if too many."""
-        if len(self._waiting) >= QUEUE_MESSAGES:
+        if len(self._waiting) >= RECEIVE_MESSAGES:
             self._waiting.popleft()
         self._waiting.append(payload)
         self._arrival.set()
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 from corianderspar import channel
 from corianderspar import clock
@@ -21,3 +22,60 @@
 
     received = clock.run_virtual(main())
     assert received == [bytes([number]) for number in range(50)]
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+async def test_sockets_carry_bursts_in_order_and_let_other_tasks_run():
+    address = f'127.0.0.1:{_free_port()}'
+    source = channel.NngChannel(f'127.0.0.1:{_free_port()}')
+    target = channel.NngChannel(address)
+    await target.open()
+    source.connect('vm2', address)
+    received: list[bytes] = []
+    turns = 0
+
+    async def take() -> None:
+        while len(received) < 300:
+            received.append(await target.receive())
+
+    async with asyncio.timeout(10):
+        taking = asyncio.create_task(take())
+        for number in range(300):
+            for _wait in range(1000):
+                if source.send('vm2', b'%d' % number):
+                    break
+                await asyncio.sleep(0.001)
+        while not taking.done():
+            turns += 1
+            await asyncio.sleep(0)
+    assert received == [b'%d' % number for number in range(300)]
+    assert turns > 1
+    await source.close()
+    await target.close()
+
+
+async def test_an_absent_peer_gets_a_bounded_number_of_messages():
+    source = channel.NngChannel(f'127.0.0.1:{_free_port()}', queue_messages=8)
+    assert not source.send('vm2', b'not connected')
+    source.connect('vm2', f'127.0.0.1:{_free_port()}')
+    sent = [source.send('vm2', b'x') for _ in range(100)]
+    assert any(sent) and not sent[-1]
+    source.disconnect('vm2')
+    assert not source.send('vm2', b'x')
+    await source.close()
+
+
+async def test_closing_ends_a_task_that_receives():
+    target = channel.NngChannel(f'127.0.0.1:{_free_port()}')
+    await target.open()
+    taking = asyncio.create_task(target.receive())
+    await asyncio.sleep(0)
+    await target.close()
+    taking.cancel()
+    await asyncio.wait((taking,))
+    assert taking.cancelled()
