Load no catalogue models where only a key's digest is made

Cause: the router imported the checks of the other interface's catalogue, and pydantic with them, for one function. Change: that function has a module of its own.

--- a/corianderspar/edge.py
+++ b/corianderspar/edge.py
@@ -6,6 +6,7 @@
 from corianderspar import catalogue
 from corianderspar import completions
 from corianderspar import configuration
+from corianderspar import digests
 from corianderspar import drain
 from corianderspar import edge_call
 from corianderspar import edge_charges
@@ -217,7 +218,7 @@
             # Open to all, so also to a caller whose key is not valid.
             return '', ''
         account = edge_call.unwrap(found)
-        return account, keys.digest_of(request.key or '')
+        return account, digests.digest_of(request.key or '')
 
     async def _run(
         self, exchange: http_io.Exchange, call: edge_call.Call
--- a/corianderspar/keys.py
+++ b/corianderspar/keys.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable
-import hashlib
 import hmac
 import secrets
 from typing import NamedTuple
@@ -14,6 +13,7 @@
 
 from corianderspar import catalogue
 from corianderspar import configuration
+from corianderspar import digests
 from corianderspar import kernel
 from corianderspar import membership
 from corianderspar import peers
@@ -21,7 +21,6 @@
 
 KEY_PREFIX = 'csk_'
 KEY_BYTES = 32
-DIGEST_PREFIX = 'sha256:'
 DIGEST_BYTES = 32
 INDEX_DIGITS = 8
 WITHDRAWN_KEPT = 4096
@@ -43,17 +42,11 @@
     Examples
     --------
     >>> made = new_key()
-    >>> made.digest == digest_of(made.key)
+    >>> made.digest == digests.digest_of(made.key)
     True
     """
     key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
-    return NewKey(key, digest_of(key))
-
-
-def digest_of(key: str) -> str:
-    """Return a key's digest as the catalogue holds it."""
-    octets = key.encode('utf-8', 'surrogateescape')
-    return DIGEST_PREFIX + hashlib.sha256(octets).hexdigest()
+    return NewKey(key, digests.digest_of(key))
 
 
 class Withdrawal(NamedTuple):
@@ -141,7 +134,7 @@
         """
         if key is None:
             return Error(_problem('key_missing', 'no key came with it'))
-        account = self.account_of(digest_of(key))
+        account = self.account_of(digests.digest_of(key))
         if account is None:
             self.counts['unknown'] += 1
             return Error(_problem('key_unknown', 'the key is not valid'))
@@ -213,7 +206,9 @@
     def _provide(self, vm: str) -> bytes:
         known = self._version_by_vm.get(vm, 0)
         fresh = sorted(
-            Withdrawal(version, bytes.fromhex(digest[len(DIGEST_PREFIX) :]))
+            Withdrawal(
+                version, bytes.fromhex(digest[len(digests.DIGEST_PREFIX) :])
+            )
             for digest, version in self._withdrawn_version_by_digest.items()
             if version > known
         )
@@ -238,7 +233,7 @@
             if len(item.digest) != DIGEST_BYTES:
                 self.counts['malformed'] += 1
                 continue
-            digest = DIGEST_PREFIX + item.digest.hex()
+            digest = digests.DIGEST_PREFIX + item.digest.hex()
             if item.version <= self._version:
                 continue
             if digest not in self._withdrawn_version_by_digest:
@@ -262,7 +257,7 @@
 
 
 def _index(digest: str) -> str:
-    start = len(DIGEST_PREFIX)
+    start = len(digests.DIGEST_PREFIX)
     return digest[start : start + INDEX_DIGITS]
 
 
--- a/corianderspar/naive_router.py
+++ b/corianderspar/naive_router.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from corianderspar import catalogue
+from corianderspar import digests
 from corianderspar import engine
 from corianderspar import http_io
-from corianderspar import keys
 from corianderspar import plain
 
 TIMEOUT_SECONDS = 60.0
@@ -82,8 +82,8 @@
     def _known(self, headers: http_io.Headers) -> bool:
         for name, value in headers:
             key = value.removeprefix('Bearer ')
-            if name == 'authorization' and keys.digest_of(key):
-                return keys.digest_of(key) in self._digests
+            if name == 'authorization' and digests.digest_of(key):
+                return digests.digest_of(key) in self._digests
         return False
 
     def _upstream(self, pool: str, role: str) -> str:
--- a/corianderspar/platform/catalogue.py
+++ b/corianderspar/platform/catalogue.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from corianderspar import keys
+from corianderspar import digests
 from corianderspar.router import model
 
 
@@ -123,7 +123,7 @@
         },
         services,
         {
-            keys.digest_of(key): _account(account)
+            digests.digest_of(key): _account(account)
             for account in document.tenants
             for key in account.api_keys
         },
--- a/corianderspar/router/front.py
+++ b/corianderspar/router/front.py
@@ -7,9 +7,9 @@
 
 from expression import Result
 
+from corianderspar import digests
 from corianderspar import http_io
 from corianderspar import kernel
-from corianderspar import keys
 from corianderspar import problems
 from corianderspar.router import allowance
 from corianderspar.router import beliefs
@@ -173,7 +173,7 @@
                     f'keys were last checked {age:.1f} s ago',
                 )
             account = config.accounts_by_digest.get(
-                keys.digest_of(request.key)
+                digests.digest_of(request.key)
             )
             if account is None:
                 raise _refused(
--- a/corianderspar/scenario_world.py
+++ b/corianderspar/scenario_world.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from corianderspar import catalogue
+from corianderspar import digests
 from corianderspar import edge
 from corianderspar import fake_answers
 from corianderspar import fake_system
 from corianderspar import kernel
-from corianderspar import keys
 from corianderspar import scenario_caller
 from corianderspar import settings
 from corianderspar import shards
@@ -189,4 +189,4 @@
 
 def digest_of(name: str) -> str:
     """Return the digest of a key, as the catalogue holds it."""
-    return keys.digest_of(key_of(name))
+    return digests.digest_of(key_of(name))
--- a/tests/router/system.py
+++ b/tests/router/system.py
@@ -5,8 +5,8 @@
 from corianderspar import caller
 from corianderspar import channel
 from corianderspar import clock
+from corianderspar import digests
 from corianderspar import kernel
-from corianderspar import keys
 from corianderspar.router import allowance
 from corianderspar.router import assembly
 from corianderspar.router import beliefs
@@ -54,7 +54,7 @@
             'shop': model.Service('shop', None),
         },
         {
-            keys.digest_of(key): account._replace(name=name)
+            digests.digest_of(key): account._replace(name=name)
             for name, found in keys_by_account.items()
             for key in found
         },
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,7 +5,7 @@
 from typer import testing
 
 from corianderspar import cli
-from corianderspar import keys
+from corianderspar import digests
 from corianderspar import porcelain
 from corianderspar import timeline
 
@@ -71,7 +71,7 @@
 def test_a_new_key_fits_its_digest():
     done = RUNNER.invoke(cli.program, ['keys', 'new', '--json'])
     made = json.loads(done.stdout)
-    assert keys.digest_of(made['key']) == made['digest']
+    assert digests.digest_of(made['key']) == made['digest']
 
 
 def test_a_daemon_that_is_not_there_is_told():
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,14 +7,15 @@
 from corianderspar import channel
 from corianderspar import clock
 from corianderspar import configuration
+from corianderspar import digests
 from corianderspar import kernel
 from corianderspar import keys
 from corianderspar import membership
 from corianderspar import peers
 from corianderspar import platform_seam as platform
 
-FIRST = keys.NewKey('csk_first', keys.digest_of('csk_first'))
-SECOND = keys.NewKey('csk_second', keys.digest_of('csk_second'))
+FIRST = keys.NewKey('csk_first', digests.digest_of('csk_first'))
+SECOND = keys.NewKey('csk_second', digests.digest_of('csk_second'))
 PLACES_BY_VM = {'vm1': 'szeged', 'vm2': 'szeged', 'vm3': 'baja', 'vm4': 'baja'}
 
 
