Let a few daemons of a large fleet read the store for the others

Cause: each change of the store woke a call of every daemon. Ruled out: longer waits alone, since most calls end with a change. Change: above 12 daemons, two of each data centre read the store and answer held questions of the others, with changes since a revision, the age of their proof and of their last disturbance. A long configuration is fetched from the store, since a relay's link may be slow. A follower whose relay is silent or stale passes it over, and reads the store itself after 3 s. A proof counts from the end of an empty wait also if clocks differ a little.

--- a/corianderspar/router/beliefs.py
+++ b/corianderspar/router/beliefs.py
@@ -1,13 +1,13 @@
 """What this daemon holds for true of the store, and how old the proof is.
 
-A daemon follows the store. One that the store turns away asks its peers,
-which tell the age of their own proof along with what they know. Versions
-never go back within one process.
+A daemon follows the store, or in a large fleet one of the daemons that do
+(`relays`). One that the store turns away asks its peers. All tell the age
+of their own proof along with what they know. Versions never go back within
+one process.
 """
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 from expression import Result
 import msgspec
@@ -16,53 +16,24 @@
 from corianderspar import peers
 from corianderspar.router import fleet
 from corianderspar.router import model
+from corianderspar.router import relays
 from corianderspar.router import store
+from corianderspar.router import words
 
 WATCH_SECONDS = 1.5  # one call in this time for each daemon
 ANSWER_SECONDS = 1.0  # beyond the wait; then the connection is given up
+HELD_SHARE = 0.95  # of its wait, for clocks that differ a little
 RETRY_SECONDS = 0.25  # between calls to a store that does not answer
 ASK_AFTER_SECONDS = 0.5  # without a word of the store, peers are asked
 ASK_SECONDS = 0.4  # for a peer's answer
 LAPSE_SECONDS = 2.0  # in which live upstreams are listed again
+RELAY_SECONDS = 1.0  # that a relay holds its answer if nothing changes
+GATHER_SECONDS = 0.05  # in which changes go out in one answer
+OLD_PROOF_SECONDS = 3.0  # WATCH_SECONDS, RELAY_SECONDS and the ways
+OLD_RETRY_SECONDS = 1.0  # between such tries, as many daemons make them
 DISTURBED_SECONDS = 0.6  # without the store: removals may be mere lapses
 
 
-class Want(NamedTuple):
-    """Asks a peer for what it believes, if newer than a revision."""
-
-    revision: int
-
-
-class Word(NamedTuple):
-    """What a peer believes.
-
-    Attributes
-    ----------
-    revision : int
-        Of the store, up to which it knows all changes.
-    age : float
-        Seconds since that was proved to be the newest.
-    configuration : Configuration or None
-        None if the asker has it, or there is none.
-    upstreams : tuple of Upstream or None
-        None if the asker has them.
-    """
-
-    revision: int
-    age: float
-    configuration: model.Configuration | None
-    upstreams: tuple[model.Upstream, ...] | None
-
-
-_WORD = msgspec.msgpack.Decoder(Word)
-
-
-class Packed(NamedTuple):
-    """A `Word`, encoded once by the peer that tells it."""
-
-    word: bytes
-
-
 class Beliefs:
     """The service ``beliefs``.
 
@@ -104,14 +75,21 @@
         self._answered = float('-inf')
         self._disturbed = float('-inf')
         self._is_store_lost = False
+        self._is_whole = False
+        # Changes before this revision may be missing in what peers are told.
+        self._whole_since = 0
+        self._news = asyncio.Event()
+        self._is_long_by_version: dict[int, bool] = {}
+        self._tried = float('-inf')
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to follow the store."""
         self._app = app
         self._fleet = app.find('fleet', fleet.Fleet)
         self._peers = app.find('peers', peers.Peers)
-        self._peers.handle('want', Want, self._tell)
-        self._peers.reply_type('word', Packed)
+        self._relays = relays.Relays(app, self._fleet)
+        self._peers.handle('want', words.Want, self._tell)
+        self._peers.reply_type('word', words.Packed)
         self._answered = app.clock.monotonic()
         app.spawn(self.name, 'follow', self._follow())
         app.spawn(self.name, 'ask', self._ask_peers())
@@ -133,42 +111,93 @@
         ]
 
     async def _follow(self) -> None:
-        clock = self._app.clock
-        is_whole = False
         while True:
-            began = clock.monotonic()
-            self.calls += 1
-            if is_whole:
-                result = await self._within(
-                    self._client.watch(self.revision, WATCH_SECONDS),
-                    WATCH_SECONDS + ANSWER_SECONDS,
-                )
-            else:
-                result = await self._within(
-                    self._client.read(), 2 * ANSWER_SECONDS
-                )
-            if result.is_error():
-                self._note_loss(result.error)
-                if result.error.code == 'compacted':
-                    is_whole = False
-                    continue
-                await clock.sleep(RETRY_SECONDS)
+            relay = self._relays.of() if self._is_whole else ''
+            if not relay:
+                await self._read_store(WATCH_SECONDS)
                 continue
-            found = result.ok
+            await self._ask_relay(relay)
+            now = self._app.clock.monotonic()
+            is_due = now - self._tried >= OLD_RETRY_SECONDS
+            if self.age() > OLD_PROOF_SECONDS and is_due:
+                self._tried = now
+                await self._read_store(0.0)
+
+    async def _read_store(self, wait: float) -> None:
+        """Call the store once, and wait a little after a failure."""
+        clock = self._app.clock
+        began = clock.monotonic()
+        self.calls += 1
+        if self._is_whole:
+            result = await self._within(
+                self._client.watch(self.revision, wait),
+                wait + ANSWER_SECONDS,
+            )
+        else:
+            result = await self._within(
+                self._client.read(), 2 * ANSWER_SECONDS
+            )
+        if result.is_error():
+            self._note_loss(result.error)
+            if result.error.code == 'compacted':
+                self._is_whole = False
+                return
+            await clock.sleep(RETRY_SECONDS)
+            return
+        found = result.ok
+        self._note_answer(clock.monotonic())
+        if self._is_whole:
+            self._apply(found.changes)
+        else:
+            self._replace(found.changes)
+            self._whole_since = found.revision
+        self._is_whole = True
+        self._move_on(found.revision)
+        proof = began
+        held = wait * HELD_SHARE
+        if not found.changes and clock.monotonic() - began >= held:
+            # The store held the call and had seen nothing by then.
+            proof = began + held
+        self.proved = max(self.proved, proof)
+
+    async def _ask_relay(self, relay: str) -> None:
+        """Follow a relay until its next answer."""
+        clock = self._app.clock
+        began = clock.monotonic()
+        want = words.Want(
+            self.revision,
+            self._version,
+            RELAY_SECONDS,
+            reads=not self._is_store_lost,
+        )
+        reply = await self._peers.ask(relay, want, RELAY_SECONDS + ASK_SECONDS)
+        if reply.is_error():
+            self._relays.note_silent(relay, reply.error.code)
+            return
+        word = self._unpack(relay, reply.ok)
+        if word is None or word.revision < self.revision:
+            self._relays.note_silent(relay, 'behind')
+            return
+        if word.version > self._version and word.configuration is None:
+            await self._read_store(0.0)
+            return
+        self._hear(relay, word, began)
+        if self.age() < OLD_PROOF_SECONDS:
             self._note_answer(clock.monotonic())
-            if is_whole:
-                self._apply(found.changes)
-            else:
-                self._replace(found.changes)
-            is_whole = True
-            self.revision = max(self.revision, found.revision)
-            proof = began
-            waited = clock.monotonic() - began
-            if not found.changes and waited >= WATCH_SECONDS:
-                # The store held the call for all of its wait and had seen
-                # nothing by then.
-                proof = began + WATCH_SECONDS
-            self.proved = max(self.proved, proof)
+        else:
+            self._relays.note_silent(relay, 'old proof')
+
+    @property
+    def _version(self) -> int:
+        return self.configuration.version if self.configuration else 0
+
+    def _move_on(self, revision: int) -> None:
+        if revision <= self.revision:
+            return
+        self.revision = revision
+        # Wakes those that hold a question; later ones wait for the next.
+        self._news.set()
+        self._news = asyncio.Event()
 
     async def _within(
         self, call: object, seconds: float
@@ -306,40 +335,102 @@
                 continue
             vm = self._app.rng.choice(others)
             began = clock.monotonic()
-            reply = await self._peers.ask(vm, Want(self.revision), ASK_SECONDS)
-            if reply.is_ok():
-                self._hear(vm, reply.ok, began)
-
-    async def _tell(self, _sender: peers.Sender, want: Want) -> Packed | None:
+            want = words.Want(self.revision, self._version)
+            reply = await self._peers.ask(vm, want, ASK_SECONDS)
+            word = self._unpack(vm, reply.ok) if reply.is_ok() else None
+            if word is not None:
+                self._hear(vm, word, began)
+
+    async def _tell(
+        self, _sender: peers.Sender, want: words.Want
+    ) -> words.Packed | None:
+        """Answer a peer, once there is news or its wait is over."""
         if self.revision == 0:
             return None
-        is_newer = self.revision > want.revision
-        upstreams = tuple(self.upstreams_by_instance.values())
-        word = Word(
-            self.revision,
-            self.age(),
-            self.configuration if is_newer else None,
-            upstreams if is_newer else None,
+        clock = self._app.clock
+        asked = clock.monotonic()
+        if want.wait and want.revision >= self.revision:
+            try:
+                async with asyncio.timeout(want.wait):
+                    await self._news.wait()
+                await clock.sleep(GATHER_SECONDS)
+            except TimeoutError:
+                pass  # no news is the answer
+        is_whole = want.revision < self._whole_since
+        config = self.configuration
+        if config is not None and config.version <= want.version:
+            config = None
+        if config is not None and want.reads and self._is_long(config):
+            config = None
+        now = clock.monotonic()
+        return words.pack(
+            words.Word(
+                self.revision,
+                self.age() - (now - asked),
+                now - self._disturbed,
+                self._version,
+                config,
+                is_whole,
+                self._entries(0 if is_whole else want.revision),
+            )
         )
-        return Packed(msgspec.msgpack.encode(word))
 
-    def _hear(self, vm: str, packed: Packed, began: float) -> None:
+    def _entries(self, after: int) -> tuple[words.Entry, ...]:
+        """Return registrations, and removals if they came late enough."""
+        return tuple(
+            words.Entry(
+                instance,
+                revision,
+                None
+                if instance in self._lapses_by_instance
+                else self.upstreams_by_instance.get(instance),
+            )
+            for instance, revision in self._revisions_by_instance.items()
+            if revision > after
+        )
+
+    def _is_long(self, config: model.Configuration) -> bool:
+        known = self._is_long_by_version.get(config.version)
+        if known is None:
+            known = words.is_long(config)
+            self._is_long_by_version = {config.version: known}
+        return known
+
+    def _unpack(self, vm: str, packed: words.Packed) -> words.Word | None:
         try:
-            word = _WORD.decode(packed.word)
+            return words.unpack(packed)
         except msgspec.MsgspecError as error:
             self._app.events.add('peer.unreadable', peer=vm, why=error)
-            return
+            return None
+
+    def _hear(self, vm: str, word: words.Word, began: float) -> None:
+        """Take a peer's word.
+
+        Parameters
+        ----------
+        vm : str
+            The peer.
+        word : Word
+            What it says.
+        began : float
+            Monotonic seconds at which it was asked.
+        """
         if word.revision < self.revision:
             return
+        if word.version > self._version and word.configuration is None:
+            return
         if word.configuration is not None:
             self._adopt(word.configuration, vm)
-        if word.upstreams is not None and word.revision > self.revision:
-            self._take_list(word.upstreams, word.revision)
+        now = self._app.clock.monotonic()
+        self._disturbed = max(self._disturbed, now - word.disturbed)
+        if word.revision > self.revision:
+            self._take_entries(word)
         before = self.age()
-        # The peer's age counts from its reply, which is later than `began`.
+        # The peer's age counts to the arrival of the question, which is
+        # later than `began`.
         self.proved = max(self.proved, began - word.age)
-        self.revision = word.revision
-        if self.age() < before - ASK_AFTER_SECONDS:
+        self._move_on(word.revision)
+        if self.age() < before - OLD_PROOF_SECONDS:
             self._app.events.add(
                 'beliefs.from_peer',
                 peer=vm,
@@ -347,18 +438,21 @@
                 age=f'{self.age():.3f}',
             )
 
-    def _take_list(
-        self, upstreams: tuple[model.Upstream, ...], revision: int
-    ) -> None:
-        by_instance = {u.instance: u for u in upstreams}
-        for instance in list(self.upstreams_by_instance):
-            if instance not in by_instance:
-                self._drop(instance, 'missing at a peer')
-        for upstream in upstreams:
-            self._put(upstream, revision)
-            self._revisions_by_instance[upstream.instance] = revision
-        for hook in self.on_upstreams:
-            hook()
+    def _take_entries(self, word: words.Word) -> None:
+        changes = tuple(
+            store.Change(
+                entry.revision,
+                instance=entry.instance,
+                upstream=entry.upstream,
+            )
+            for entry in word.entries
+        )
+        if word.is_whole:
+            self._replace(changes)
+            self._whole_since = word.revision
+        else:
+            self._apply(changes)
+        self._is_whole = True
 
 
 def _unreachable(
