Let a daemon sleep while nothing happens

Cause: an idle daemon woke about 75 times a second: three servers of uvicorn look ten times each whether to end, requests for room are looked at 20 times though none waits, the log is flushed 10 times though it is empty. Change: each waits for what it is about. Two timers of the beliefs are one. Removals heard from a peer are lapses only if that peer missed the store; before, a daemon that the store turns away held each back for 2 s. A follower whose relays are all silent does not fall back to the pace of a relay. The store's twin counted watches twice.

--- a/corianderspar/router/beliefs.py
+++ b/corianderspar/router/beliefs.py
@@ -24,6 +24,7 @@
 ANSWER_SECONDS = 1.0  # beyond the wait; then the connection is given up
 HELD_SHARE = 0.95  # of its wait, for clocks that differ a little
 RETRY_SECONDS = 0.25  # between calls to a store that does not answer
+TEND_SECONDS = 0.25  # between looks at lapses and at the store's silence
 ASK_AFTER_SECONDS = 0.5  # without a word of the store, peers are asked
 ASK_SECONDS = 0.4  # for a peer's answer
 LAPSE_SECONDS = 2.0  # in which live upstreams are listed again
@@ -92,8 +93,7 @@
         self._peers.reply_type('word', words.Packed)
         self._answered = app.clock.monotonic()
         app.spawn(self.name, 'follow', self._follow())
-        app.spawn(self.name, 'ask', self._ask_peers())
-        app.spawn(self.name, 'lapse', self._drop_lapsed())
+        app.spawn(self.name, 'tend', self._tend())
 
     async def stop(self) -> None:
         """Nothing to hand on."""
@@ -111,17 +111,20 @@
         ]
 
     async def _follow(self) -> None:
+        clock = self._app.clock
         while True:
-            relay = self._relays.of() if self._is_whole else ''
-            if not relay:
+            relay = self._relays.of() if self._is_whole else None
+            if relay is None:
                 await self._read_store(WATCH_SECONDS)
                 continue
-            await self._ask_relay(relay)
-            now = self._app.clock.monotonic()
-            is_due = now - self._tried >= OLD_RETRY_SECONDS
-            if self.age() > OLD_PROOF_SECONDS and is_due:
-                self._tried = now
+            if relay:
+                await self._ask_relay(relay)
+            is_due = clock.monotonic() - self._tried >= OLD_RETRY_SECONDS
+            if is_due and self.age() > OLD_PROOF_SECONDS:
+                self._tried = clock.monotonic()
                 await self._read_store(0.0)
+            elif not relay:
+                await clock.sleep(RETRY_SECONDS)
 
     async def _read_store(self, wait: float) -> None:
         """Call the store once, and wait a little after a failure."""
@@ -147,9 +150,9 @@
         found = result.ok
         self._note_answer(clock.monotonic())
         if self._is_whole:
-            self._apply(found.changes)
+            self._apply(found.changes, self._disturbed)
         else:
-            self._replace(found.changes)
+            self._replace(found.changes, self._disturbed)
             self._whole_since = found.revision
         self._is_whole = True
         self._move_on(found.revision)
@@ -228,15 +231,20 @@
             )
         self._disturbed = self._app.clock.monotonic()
 
-    def _replace(self, changes: tuple[store.Change, ...]) -> None:
+    def _replace(
+        self, changes: tuple[store.Change, ...], disturbed: float
+    ) -> None:
         """Take a full reading in place of what is known."""
         named = {change.instance for change in changes if change.upstream}
         for instance in list(self.upstreams_by_instance):
             if instance not in named:
-                self._remove(instance, 'missing')
-        self._apply(changes)
+                self._remove(instance, 'missing', disturbed)
+        self._apply(changes, disturbed)
 
-    def _apply(self, changes: tuple[store.Change, ...]) -> None:
+    def _apply(
+        self, changes: tuple[store.Change, ...], disturbed: float
+    ) -> None:
+        """Take changes from one who missed the store at ``disturbed``."""
         for change in changes:
             if change.fault:
                 self._app.events.add(
@@ -254,7 +262,7 @@
                 continue
             self._revisions_by_instance[change.instance] = change.revision
             if change.upstream is None:
-                self._remove(change.instance, 'removed')
+                self._remove(change.instance, 'removed', disturbed)
             else:
                 self._put(change.upstream, change.revision)
         for hook in self.on_upstreams:
@@ -287,14 +295,14 @@
                 revision=revision,
             )
 
-    def _remove(self, instance: str, why: str) -> None:
+    def _remove(self, instance: str, why: str, disturbed: float) -> None:
         if instance not in self.upstreams_by_instance:
             return
         now = self._app.clock.monotonic()
-        if now - self._disturbed < LAPSE_SECONDS:
+        if now - disturbed < LAPSE_SECONDS:
             # It may only have been kept from reporting itself.
             self._lapses_by_instance.setdefault(
-                instance, self._disturbed + LAPSE_SECONDS
+                instance, disturbed + LAPSE_SECONDS
             )
             return
         self._drop(instance, why)
@@ -309,37 +317,38 @@
             revision=self.revision,
         )
 
-    async def _drop_lapsed(self) -> None:
-        while True:
-            await self._app.clock.sleep(RETRY_SECONDS)
-            now = self._app.clock.monotonic()
-            due = [i for i, t in self._lapses_by_instance.items() if t <= now]
-            for instance in due:
-                self._drop(instance, 'lapsed')
-            if due:
-                for hook in self.on_upstreams:
-                    hook()
-
-    async def _ask_peers(self) -> None:
-        clock = self._app.clock
+    async def _tend(self) -> None:
+        """Drop what has lapsed, and ask peers while the store is lost."""
         while True:
-            await clock.sleep(ASK_AFTER_SECONDS / 2)
-            silence = clock.monotonic() - self._answered
-            if not self._is_store_lost and (
-                silence < WATCH_SECONDS + ASK_AFTER_SECONDS
+            await self._app.clock.sleep(TEND_SECONDS)
+            self._drop_lapsed()
+            silence = self._app.clock.monotonic() - self._answered
+            if self._is_store_lost or (
+                silence >= WATCH_SECONDS + ASK_AFTER_SECONDS
             ):
-                continue
-            own = self._app.identity.vm
-            others = [vm for vm in self._fleet.live() if vm != own]
-            if not others:
-                continue
-            vm = self._app.rng.choice(others)
-            began = clock.monotonic()
-            want = words.Want(self.revision, self._version)
-            reply = await self._peers.ask(vm, want, ASK_SECONDS)
-            word = self._unpack(vm, reply.ok) if reply.is_ok() else None
-            if word is not None:
-                self._hear(vm, word, began)
+                await self._ask_any_peer()
+
+    def _drop_lapsed(self) -> None:
+        now = self._app.clock.monotonic()
+        due = [i for i, t in self._lapses_by_instance.items() if t <= now]
+        for instance in due:
+            self._drop(instance, 'lapsed')
+        if due:
+            for hook in self.on_upstreams:
+                hook()
+
+    async def _ask_any_peer(self) -> None:
+        own = self._app.identity.vm
+        others = [vm for vm in self._fleet.live() if vm != own]
+        if not others:
+            return
+        vm = self._app.rng.choice(others)
+        began = self._app.clock.monotonic()
+        want = words.Want(self.revision, self._version)
+        reply = await self._peers.ask(vm, want, ASK_SECONDS)
+        word = self._unpack(vm, reply.ok) if reply.is_ok() else None
+        if word is not None:
+            self._hear(vm, word, began)
 
     async def _tell(
         self, _sender: peers.Sender, want: words.Want
@@ -421,10 +430,9 @@
             return
         if word.configuration is not None:
             self._adopt(word.configuration, vm)
-        now = self._app.clock.monotonic()
-        self._disturbed = max(self._disturbed, now - word.disturbed)
+        disturbed = self._app.clock.monotonic() - word.disturbed
         if word.revision > self.revision:
-            self._take_entries(word)
+            self._take_entries(word, disturbed)
         before = self.age()
         # The peer's age counts to the arrival of the question, which is
         # later than `began`.
@@ -438,7 +446,7 @@
                 age=f'{self.age():.3f}',
             )
 
-    def _take_entries(self, word: words.Word) -> None:
+    def _take_entries(self, word: words.Word, disturbed: float) -> None:
         changes = tuple(
             store.Change(
                 entry.revision,
@@ -448,10 +456,10 @@
             for entry in word.entries
         )
         if word.is_whole:
-            self._replace(changes)
+            self._replace(changes, disturbed)
             self._whole_since = word.revision
         else:
-            self._apply(changes)
+            self._apply(changes, disturbed)
         self._is_whole = True
 
 
--- a/corianderspar/router/log_writer.py
+++ b/corianderspar/router/log_writer.py
@@ -33,6 +33,7 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._bytes = 0
         self._rest = b''
+        self._has_lines = asyncio.Event()
 
     def attach(self) -> None:
         """Take all log messages of this process."""
@@ -47,12 +48,16 @@
             return
         self._lines.append(line)
         self._bytes += len(line)
+        self._has_lines.set()
 
     async def run(self) -> None:
         """Write what is kept, again and again."""
         while True:
-            self.flush()
+            await self._has_lines.wait()
             await asyncio.sleep(FLUSH_SECONDS)
+            self.flush()
+            if not self._rest:
+                self._has_lines.clear()
 
     def flush(self) -> None:
         """Write as much as the descriptor takes now."""
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -20,6 +20,7 @@
 
 ANSWER_SECONDS = 0.15  # for a home to say that it heard; 50 times the way
 PUMP_SECONDS = 0.05  # between looks at requests whose time runs out
+EXPIRE_SECONDS = 1.0  # between looks at old leases while nobody waits
 LEASE_SECONDS = 30.0  # no request lasts longer
 ENDS = ('whole', 'ended')
 
@@ -124,6 +125,7 @@
         self._owners_by_lease: dict[str, str] = {}
         self._answers_by_lease: dict[str, asyncio.Future[RoomAnswer]] = {}
         self._sequence = 0
+        self._has_waiting = asyncio.Event()
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to answer and to tell what this daemon runs."""
@@ -314,6 +316,7 @@
         decision = scheduler.submit(ask, now)
         if decision is None:
             self._owners_by_lease[want.lease] = vm
+            self._has_waiting.set()
             return RoomAnswer(want.lease, 'waiting')
         return _say(want.lease, decision)
 
@@ -356,8 +359,18 @@
                 self._peers.tell(vm, answer)
 
     async def _run(self) -> None:
+        """Look at requests that wait, and now and then at old leases."""
         while True:
-            await self._app.clock.sleep(PUMP_SECONDS)
+            schedulers = self._rooms_by_service.values()
+            if any(scheduler.waiting() for scheduler in schedulers):
+                await self._app.clock.sleep(PUMP_SECONDS)
+            else:
+                self._has_waiting.clear()
+                try:
+                    async with asyncio.timeout(EXPIRE_SECONDS):
+                        await self._has_waiting.wait()
+                except TimeoutError:
+                    pass  # nobody came to wait
             now = self._app.clock.monotonic()
             for scheduler in self._rooms_by_service.values():
                 self._expire(scheduler, now)
--- a/corianderspar/router/relays.py
+++ b/corianderspar/router/relays.py
@@ -32,11 +32,15 @@
         self._fleet = view
         self._silent_until: dict[str, float] = {}
 
-    def of(self) -> str:
-        """Return the VM to ask; empty if this daemon reads the store."""
+    def of(self) -> str | None:
+        """Return the VM to ask.
+
+        None if this daemon reads the store; empty if it should ask, and all
+        relays are passed over.
+        """
         live = self._fleet.live()
         if len(live) <= SMALL_FLEET:
-            return ''
+            return None
         own = self._app.identity
         here = [
             vm
@@ -45,10 +49,10 @@
             or self._fleet.members()[vm].data_centre == own.data_centre
         ]
         now = self._app.clock.monotonic()
-        ranked = rendezvous.rank('store', here)
-        for vm in ranked[:RELAYS_PER_DATA_CENTRE]:
-            if vm == own.vm:
-                return ''
+        ranked = rendezvous.rank('store', here)[:RELAYS_PER_DATA_CENTRE]
+        if own.vm in ranked:
+            return None
+        for vm in ranked:
             if self._silent_until.get(vm, 0.0) <= now:
                 return vm
         return ''
--- a/corianderspar/router/twins.py
+++ b/corianderspar/router/twins.py
@@ -119,13 +119,14 @@
 
     async def read(self) -> Result[store.Changes, store.StoreError]:
         """Read everything."""
-        refusal = self._refusal()
-        return refusal or Ok(self._state.snapshot())
+        self._state.calls += 1
+        return self._refusal() or Ok(self._state.snapshot())
 
     async def watch(
         self, revision: int, wait: float
     ) -> Result[store.Changes, store.StoreError]:
         """Wait for changes."""
+        self._state.calls += 1
         refusal = self._refusal()
         if refusal is not None:
             return refusal
@@ -137,7 +138,6 @@
 
     def _refusal(self) -> Result[store.Changes, store.StoreError] | None:
         state = self._state
-        state.calls += 1
         if state.down:
             return Error(store.StoreError('unreachable'))
         if self._vm in state.turned_away:
--- a/corianderspar/server.py
+++ b/corianderspar/server.py
@@ -15,7 +15,22 @@
 
 
 class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
+    """A server that leaves signals to the daemon, and sleeps when idle."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._ending = asyncio.Event()
+
+    def end(self) -> None:
+        """Accept no more, finish what runs, then close."""
+        self.should_exit = True
+        self._ending.set()
+
+    async def main_loop(self) -> None:
+        # uvicorn looks ten times a second whether it should end; what else
+        # it does then, dates and limits, is not used here.
+        await self.on_tick(0)
+        await self._ending.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> collections.abc.Generator[None, None, None]:
@@ -149,7 +164,7 @@
         """Accept no more, finish what runs, then close."""
         if self._server is None or self._task is None:
             return
-        self._server.should_exit = True
+        self._server.end()
         # A caller that waits no longer must not end the server's task, which
         # `abort` still needs.
         await asyncio.shield(self._task)
