Connect to the decode engine before a prompt is read for it

Change: a connection to the decode engine is opened, or found kept, before the prompt is sent to be read; without one in 0.1 s another is placed. An engine that stays silent is tried half as often each time, up to 6 s. The test of a kept prompt whose caller leaves now uses an engine that takes a connection and is gone at the send, since the other case reads no prompt.

--- a/corianderspar/platform/engines.py
+++ b/corianderspar/platform/engines.py
@@ -59,6 +59,20 @@
     def __init__(self, pool: connections.ConnectionPool) -> None:
         self._pool = pool
 
+    async def reach(
+        self, upstream: model.Upstream
+    ) -> Result[None, upstreams.Failure]:
+        """Connect, unless a connection is kept."""
+        try:
+            await self._pool.reach(
+                upstream.host, upstream.port, upstream.instance
+            )
+        except connections.UpstreamError as error:
+            return Error(
+                upstreams.Failure(upstreams.Fault.NOT_SENT, error.why)
+            )
+        return Ok(None)
+
     async def run(
         self,
         upstream: model.Upstream,
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -17,6 +17,7 @@
 import h11
 
 CONNECT_SECONDS = 0.4  # 140 times the way across two data centres
+REACH_SECONDS = 0.1  # 35 times that way, for one who may choose another
 SILENT_MS = 1000  # TCP_USER_TIMEOUT; two losses in a row take 600 ms
 IDLE_SECONDS = 4.0  # of a kept connection whose upstream states no timeout
 IDLE_SHARE = 0.5  # of a stated timeout, before the upstream can act on it
@@ -368,6 +369,20 @@
             raise
         return reply
 
+    async def reach(self, host: str, port: int, key: str) -> None:
+        """Have a connection kept for a call that comes soon.
+
+        Raises
+        ------
+        UpstreamError
+            If the upstream did not take one in `REACH_SECONDS`.
+        """
+        connection = self._take(key)
+        if connection is None:
+            connection = await self._open(host, port, REACH_SECONDS)
+            connection.idle_since = asyncio.get_running_loop().time()
+        self._kept_by_key.setdefault(key, []).append(connection)
+
     def keep(self, key: str, connection: _Connection) -> None:
         """Keep a connection on which nothing is outstanding."""
         kept = self._kept_by_key.setdefault(key, [])
@@ -414,10 +429,12 @@
         idle = now - connection.idle_since
         return connection.is_quiet and idle < connection.idle_limit
 
-    async def _open(self, host: str, port: int) -> _Connection:
+    async def _open(
+        self, host: str, port: int, seconds: float = CONNECT_SECONDS
+    ) -> _Connection:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(seconds):
                 _, connection = await loop.create_connection(
                     _Connection, host, port
                 )
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -224,6 +224,9 @@
             if prefill is None:
                 why = 'prefill engine unknown'
                 return _Round(False, why, room.placed.prefill)
+            unreached = await self._reach(work, room, decode)
+            if unreached is not None:
+                return unreached
             found = await self._prefill(work, room, prefill, is_extra)
             if isinstance(found, _Round):
                 return found
@@ -233,6 +236,19 @@
             return _Round(False, 'no budget for another send')
         return await self._decode(work, reader, room, decode, kept)
 
+    async def _reach(
+        self, work: works.Work, room: placement.Room, engine: model.Upstream
+    ) -> _Round | None:
+        """Connect to the decode engine before a prompt is read for it."""
+        began = self._app.clock.monotonic()
+        result = await self._calls.reach(engine)
+        if result.is_ok():
+            return None
+        why = result.error.detail
+        self._placement.note(room, 'silent', engine.instance)
+        self._log_send(work, engine, began, 'connect', why)
+        return _Round(False, why, engine.instance)
+
     async def _prefill(
         self,
         work: works.Work,
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -348,7 +348,7 @@
         elif news.event == 'full':
             scheduler.avoid(news.instance, now, rooms.FULL_SECONDS)
         elif news.event == 'silent':
-            scheduler.avoid(news.instance, now, rooms.SUSPECT_SECONDS)
+            scheduler.suspect(news.instance, now)
         self._pump(scheduler, now)
 
     def _pump(self, scheduler: rooms.Rooms, now: float) -> None:
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -32,6 +32,7 @@
 FIRST_EVENT_SECONDS = 0.12  # from a prompt that was read to its first event
 FULL_SECONDS = 0.25  # an engine that said it is full is left alone
 SUSPECT_SECONDS = 1.5  # an engine that did not answer is left alone
+SUSPECT_MOST_SECONDS = 6.0  # doubled up to this while it does not answer
 DECODE_TOKENS_PER_SECOND = 300.0  # of one request, before measured
 PACE_SMOOTHING = 0.02  # weight of one answer's pace
 SHORTEST_SECONDS = 0.01  # of decoding; keeps the pace finite
@@ -236,6 +237,9 @@
         self._waiting_by_id: dict[str, Ask] = {}
         self._foreign_by_owner: dict[str, dict[str, Load]] = {}
         self._avoided_until: dict[str, float] = {}
+        self._silences_by_instance: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._held_seconds = 3.0
         self._promised = 0.0
         self._promised_at = 0.0
@@ -245,6 +249,10 @@
     def set_engines(self, engines: list[model.Upstream]) -> None:
         """Replace the engines that may get work."""
         self._engines_by_instance = {e.instance: e for e in engines}
+        for instance in list(self._silences_by_instance):
+            if instance not in self._engines_by_instance:
+                del self._silences_by_instance[instance]
+                self._avoided_until.pop(instance, None)
 
     def set_foreign(self, owner: str, loads: dict[str, Load]) -> None:
         """Take note of what a daemon runs under other schedulers' leases."""
@@ -325,6 +333,7 @@
         self._waiting_by_id.pop(lease, None)
         if held is None or held.read_at is None or not is_whole:
             return
+        self._silences_by_instance.pop(held.placed.decode, None)
         held_for = now - held.since
         self._held_seconds += SMOOTHING * (held_for - self._held_seconds)
         seconds = max(now - held.read_at, SHORTEST_SECONDS)
@@ -346,12 +355,26 @@
         held = self.leases_by_id.get(lease)
         if held is not None:
             self.leases_by_id[lease] = held._replace(read_at=now)
+            self._silences_by_instance.pop(held.placed.prefill, None)
 
     def avoid(self, instance: str, now: float, seconds: float) -> None:
         """Give an engine no work for a while."""
         until = max(self._avoided_until.get(instance, 0.0), now + seconds)
         self._avoided_until[instance] = until
 
+    def suspect(self, instance: str, now: float) -> None:
+        """Give an engine that did not answer no work for a while.
+
+        Twice as long each time, until it answers; what fails meanwhile is
+        of the same silence.
+        """
+        if self._avoided_until.get(instance, 0.0) > now:
+            return
+        silences = self._silences_by_instance[instance]
+        self._silences_by_instance[instance] += 1
+        seconds = min(SUSPECT_SECONDS * 2**silences, SUSPECT_MOST_SECONDS)
+        self.avoid(instance, now, seconds)
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._waiting_by_id)
--- a/corianderspar/router/twins.py
+++ b/corianderspar/router/twins.py
@@ -162,6 +162,9 @@
         Between them.
     breaks_after : int or None
         Number of the event after which it breaks off.
+    connects : bool
+        Whether it takes connections, if it is reached no more when a
+        request is sent.
     """
 
     seconds: float = 0.05
@@ -170,6 +173,7 @@
     events: int = 5
     event_seconds: float = 0.05
     breaks_after: int | None = None
+    connects: bool = False
 
 
 class Sent(NamedTuple):
@@ -206,6 +210,20 @@
         """Return kind and instance of each call."""
         return [(sent.kind, sent.instance) for sent in self.sent]
 
+    async def reach(
+        self, upstream: model.Upstream
+    ) -> Result[None, upstreams.Failure]:
+        """Connect."""
+        found = self._behaviour(upstream)
+        is_gone = found.fault is upstreams.Fault.NOT_SENT
+        if is_gone and not found.connects:
+            return Error(
+                upstreams.Failure(
+                    upstreams.Fault.NOT_SENT, 'connection refused'
+                )
+            )
+        return Ok(None)
+
     async def run(
         self,
         upstream: model.Upstream,
--- a/corianderspar/router/upstreams.py
+++ b/corianderspar/router/upstreams.py
@@ -107,6 +107,10 @@
 class UpstreamCalls(Protocol):
     """What upstreams can be asked to do. Each call is made once."""
 
+    async def reach(self, upstream: model.Upstream) -> Result[None, Failure]:
+        """Connect, unless a connection is kept; nothing is sent."""
+        ...
+
     async def run(
         self,
         upstream: model.Upstream,
--- a/tests/router/test_connections.py
+++ b/tests/router/test_connections.py
@@ -168,3 +168,24 @@
         server.pool.sweep()
         await server.get()
         assert server.accepted == 2
+
+
+async def test_a_connection_that_was_opened_ahead_carries_the_next_call():
+    async with Server(ok(), ok()) as server:
+        place = '127.0.0.1', server.port
+        key = f'127.0.0.1:{server.port}'
+        await server.pool.reach(*place, key)
+        await server.pool.reach(*place, key)
+        await server.get()
+        await server.pool.reach(*place, key)
+        await server.get()
+        assert (server.pool.opened, server.accepted) == (1, 1)
+
+
+async def test_a_closed_port_is_not_reached_and_nothing_was_sent():
+    async with Server() as server:
+        port = server.port
+    pool = connections.ConnectionPool()
+    with pytest.raises(connections.UpstreamError) as caught:
+        await pool.reach('127.0.0.1', port, 'key')
+    assert not caught.value.sent
--- a/tests/router/test_rooms.py
+++ b/tests/router/test_rooms.py
@@ -224,3 +224,39 @@
     found = {ask.lease: each for ask, each in scheduler.pump(now)}
     assert isinstance(found['back'], rooms.Refused)
     assert scheduler.submit(back, now).why == 'no room in time'
+
+
+def test_an_engine_that_stays_silent_is_tried_less_and_less_often():
+    scheduler = _scheduler()
+    tries = []
+    for step in range(200):
+        now = step / 10
+        found = scheduler.submit(_ask(f'l{step}', now, excluded=()), now)
+        assert isinstance(found, rooms.Placed)
+        if found.decode == 'd0':
+            tries.append(now)
+            scheduler.suspect('d0', now)
+            scheduler.suspect('d0', now)  # another request at the same time
+            scheduler.release(f'l{step}', now, is_whole=False)
+        else:
+            scheduler.note_read(f'l{step}', now)
+            scheduler.release(f'l{step}', now, is_whole=True)
+    assert 3 <= len(tries) <= 6
+    pauses = [b - a for a, b in zip(tries, tries[1:], strict=False)]
+    assert pauses[0] >= rooms.SUSPECT_SECONDS
+    assert pauses == sorted(pauses)
+    assert pauses[-1] <= rooms.SUSPECT_MOST_SECONDS + 0.2
+
+
+def test_an_engine_that_answers_again_is_trusted_again():
+    scheduler = _scheduler()
+    scheduler.suspect('d0', 0.0)
+    found = scheduler.submit(_ask('a', 2.0, excluded=('d1', 'd2', 'd3')), 2.0)
+    assert found.decode == 'd0'
+    scheduler.note_read('a', 2.1)
+    scheduler.release('a', 3.0, is_whole=True)
+    scheduler.suspect('d0', 4.0)
+    only = ('d1', 'd2', 'd3')
+    waits = _ask('b', 4.0 + rooms.SUSPECT_SECONDS + 0.1, excluded=only)
+    found = scheduler.submit(waits, waits.arrived)
+    assert isinstance(found, rooms.Placed)
