Work out once a round what the beats of a large fleet tell

Cause: a profile of a daemon among 79 (20 s, 5 of them with traffic) has 0.6 of 1.3 s of its own time in asking of each member, for each beat, whether it is heard. Change: members are looked at once for the beats of 0.1 s. Before: 52,000 looks in 20 s.

--- a/corianderspar/router/fleet.py
+++ b/corianderspar/router/fleet.py
@@ -11,6 +11,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+import functools
 from typing import NamedTuple
 
 import xxhash
@@ -26,6 +28,7 @@
 # while one beat in ten was lost; then some for VMs that are slow.
 LARGE_SILENT_SECONDS = 4.0
 AGES_PER_BEAT = 128  # members whose age is told; 6 bytes each
+GOSSIP_SECONDS = 0.1  # in which beats tell the same ages
 AGE_UNIT = 0.1  # seconds; ages are told as whole numbers of them
 FORGET_SECONDS = 60.0  # a peer cut off for longer joins anew
 NAMED_PER_BEAT = 8  # members named in a heartbeat; it must stay small
@@ -145,6 +148,8 @@
         self._vms_by_mark: dict[int, str] = {}
         self._turns: collections.deque[str] = collections.deque()
         self._is_hurried = False
+        self._gossiped = float('-inf')
+        self._told: tuple[list[Member], dict[int, int]] = [], {}
         self._ended: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -175,12 +180,19 @@
     def is_heard(self, vm: str) -> bool:
         """Return whether a peer was heard lately."""
         member = self._members_by_vm.get(vm)
-        if member is None:
-            return False
-        silence = self._app.clock.monotonic() - member.heard
+        return member is not None and bool(self._heard([member]))
+
+    def _heard(self, members: Iterable[Member]) -> list[Member]:
+        """Return those that were heard lately."""
+        now = self._app.clock.monotonic()
         if self.is_large:
-            return silence < LARGE_SILENT_SECONDS
-        return silence < SILENT_BEATS * member.interval
+            since = now - LARGE_SILENT_SECONDS
+            return [member for member in members if member.heard > since]
+        return [
+            member
+            for member in members
+            if now - member.heard < SILENT_BEATS * member.interval
+        ]
 
     @property
     def is_large(self) -> bool:
@@ -189,11 +201,8 @@
 
     def live(self) -> list[str]:
         """Return all VMs that may be homes, this one included; sorted."""
-        names = [
-            member.vm
-            for member in self._members_by_vm.values()
-            if not member.leaving and self.is_heard(member.vm)
-        ]
+        heard = self._heard(self._members_by_vm.values())
+        names = [member.vm for member in heard if not member.leaving]
         if not self.leaving:
             names.append(self._app.identity.vm)
         return sorted(names)
@@ -201,8 +210,7 @@
     def heard_share(self) -> float:
         """Return the share of the known daemons that are heard, 0 to 1."""
         known = [m for m in self._members_by_vm.values() if not m.leaving]
-        heard = sum(self.is_heard(member.vm) for member in known)
-        return (heard + 1) / (len(known) + 1)
+        return (len(self._heard(known)) + 1) / (len(known) + 1)
 
     def size(self) -> int:
         """Return how many daemons are known, this one included."""
@@ -273,13 +281,10 @@
             await self._app.clock.sleep(BEAT_SECONDS)
 
     def _beat(self, vm: str) -> Beat:
-        heard = [
-            Named(member.vm, member.address)
-            for member in self._members_by_vm.values()
-            if member.vm != vm and self.is_heard(member.vm)
-        ]
+        heard, ages = self._gossip()
         if len(heard) > NAMED_PER_BEAT:
             heard = self._app.rng.sample(heard, NAMED_PER_BEAT)
+        named = [Named(m.vm, m.address) for m in heard if m.vm != vm]
         sections = {}
         for name, provide in self._provide_by_section.items():
             content = provide(vm)
@@ -291,24 +296,31 @@
             self._interval(),
             self.leaving,
             self._is_met(vm),
-            tuple(heard),
+            tuple(named),
             sections,
-            self._ages(),
+            ages,
         )
 
-    def _ages(self) -> dict[int, int]:
-        """Return how long ago members were alive, by their marks."""
-        if not self.is_large:
-            return {}
+    def _gossip(self) -> tuple[list[Member], dict[int, int]]:
+        """Return the members that are heard, and their ages by mark.
+
+        The beats of one round tell the same.
+        """
         now = self._app.clock.monotonic()
-        ages = [
-            (mark, int((now - self._members_by_vm[vm].heard) / AGE_UNIT) + 1)
-            for mark, vm in self._vms_by_mark.items()
-            if self.is_heard(vm)
-        ]
-        if len(ages) > AGES_PER_BEAT:
-            ages = self._app.rng.sample(ages, AGES_PER_BEAT)
-        return dict(ages)
+        if self.is_large and now - self._gossiped < GOSSIP_SECONDS:
+            return self._told
+        heard = self._heard(self._members_by_vm.values())
+        ages: dict[int, int] = {}
+        if self.is_large:
+            some = heard
+            if len(some) > AGES_PER_BEAT:
+                some = self._app.rng.sample(some, AGES_PER_BEAT)
+            for member in some:
+                age = int((now - member.heard) / AGE_UNIT) + 1
+                ages[_mark(member.incarnation)] = age
+        self._gossiped = now
+        self._told = heard, ages
+        return self._told
 
     def _is_met(self, vm: str) -> bool:
         """Return whether a peer's own beats arrive."""
@@ -438,6 +450,7 @@
             hook(incarnation)
 
 
+@functools.lru_cache(maxsize=MEMBERS_MOST)
 def _mark(incarnation: str) -> int:
     """Return a short name for an incarnation, for beats."""
     return xxhash.xxh32_intdigest(incarnation.encode())
