--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -7,6 +7,7 @@
 
 from corianderspar import server
 
+EVENTS = 5  # of a stream, unless a test changes it
 DOCUMENT = {
     'version': 3,
     'routes': [
@@ -151,17 +152,24 @@
         self.service = service
         self.phase = phase
         self.seen = []
-        self.events = 5
+        self.events = EVENTS
         self.event_seconds = 0.02
         self.break_after = None
         self.refuse = False
         self._server = server.HttpServer(self, '127.0.0.1:0')
 
     async def start(self, store):
+        await self.listen()
+        self.register(store, self.address)
+
+    async def listen(self):
         await self._server.start()
+        self.address = self._server.address
+
+    def register(self, store, address):
         entry = {
             'service': self.service,
-            'addr': self._server.address,
+            'addr': address,
             'zone': 'z',
             'version': 'v1',
             'slots': 64,
@@ -209,13 +217,16 @@
         first = int(headers.get('last-event-id', 0)) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_seconds)
-            content = f'id: {number}\ndata: x{number}\n\n'.encode()
-            await part(send, content, True)
+            await part(send, event(number), True)
             if number == self.break_after:
                 return
         await part(send, b'', False)
 
 
+def event(number):
+    return f'id: {number}\ndata: x{number}\n\n'.encode()
+
+
 async def start(send, status, headers):
     encoded = [(n.encode(), v.encode()) for n, v in headers]
     await send(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).parent.parent.parent
 SECONDS = 20.0  # no step takes longer unless it hangs
 STEP_SECONDS = 0.05
+INTERPRETER_SECONDS = 0.2
 STEPS = int(SECONDS / STEP_SECONDS)
 SETTINGS = """
 node = "front-1"
@@ -56,8 +57,9 @@
 
 
 class World:
-    def __init__(self, path):
+    def __init__(self, path, meanwhile=None):
         self.path = path / 'local.toml'
+        self.meanwhile = meanwhile
         self.output = b''
 
     async def __aenter__(self):
@@ -82,12 +84,16 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'corianderspar.platform',
+            'deploy.start',
             cwd=ROOT,
             env=os.environ | {'CORIANDERSPAR_CONFIG': str(self.path)},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
+        if self.meanwhile is not None:
+            # The interpreter itself takes some time before any code runs.
+            await asyncio.sleep(INTERPRETER_SECONDS)
+            await self.meanwhile(self.process)
         self.reading = asyncio.create_task(self._read())
         self.client = httpx.AsyncClient(timeout=SECONDS)
         for _ in range(STEPS):
@@ -235,3 +241,14 @@
         world.process.send_signal(signal.SIGHUP)
         await world.says(b'event=settings.invalid')
         assert (await world.post('/order/1')).status_code == 200
+
+
+async def test_sighup_while_it_starts_does_not_end_it(tmp_path):
+    async def hang_up(process):
+        for _ in range(60):
+            await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGHUP)
+
+    async with World(tmp_path, hang_up) as world:
+        assert world.process.returncode is None
+        assert (await world.post('/order/1')).status_code == 200
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,42 @@
+"""Plays seeds one after another, and prints what each found."""
+
+import argparse
+import asyncio
+import collections
+from pathlib import Path
+import sys
+import tempfile
+
+from tests.soak import soak
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=50)
+    parser.add_argument('--seconds', type=float, default=15.0)
+    parser.add_argument('--daemons', type=int, default=4)
+    chosen = parser.parse_args()
+    failed = []
+    faults: collections.Counter[str] = collections.Counter()
+    for seed in range(chosen.first, chosen.first + chosen.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            one = soak.Soak(seed, chosen.seconds, Path(folder), chosen.daemons)
+            findings = asyncio.run(one.play())
+            faults.update(one.faults)
+            served = sum(asked.status == 200 for asked in one.asked)
+            print(f'seed {seed}: {served} of {len(one.asked)} served')
+            for finding in findings[:10]:
+                print(f'  {finding}')
+            if findings:
+                failed.append(seed)
+                for daemon in one.daemons:
+                    log = Path(f'soak-{seed}-{daemon.name}.log')
+                    log.write_bytes(daemon.output)
+            sys.stdout.flush()
+    print(f'{chosen.seeds - len(failed)} passed, {len(failed)} failed')
+    print(f'faults: {dict(faults)}; failed seeds: {failed}')
+    return 1 if failed else 0
+
+
+sys.exit(main())
