--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 from pathlib import Path
+import signal
 import sys
 import tempfile
 
@@ -17,6 +18,8 @@
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--daemons', type=int, default=4)
     chosen = parser.parse_args()
+    # Daemons must not outlive a soak that is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = []
     faults: collections.Counter[str] = collections.Counter()
     for seed in range(chosen.first, chosen.first + chosen.seeds):
