--- a/corianderspar/router/beliefs.py
+++ b/corianderspar/router/beliefs.py
@@ -31,7 +31,7 @@
 RELAY_SECONDS = 1.0  # that a relay holds its answer if nothing changes
 GATHER_SECONDS = 0.05  # in which changes go out in one answer
 OLD_PROOF_SECONDS = 3.0  # WATCH_SECONDS, RELAY_SECONDS and the ways
-OLD_RETRY_SECONDS = 1.0  # between such tries, as many daemons make them
+OLD_RETRY_SECONDS = 1.0  # between those tries; many daemons may make them
 DISTURBED_SECONDS = 0.6  # without the store: removals may be mere lapses
 
 
@@ -77,7 +77,8 @@
         self._disturbed = float('-inf')
         self._is_store_lost = False
         self._is_whole = False
-        # Changes before this revision may be missing in what peers are told.
+        # Removals before this revision are not known one by one: a peer that
+        # is behind it gets the whole list.
         self._whole_since = 0
         self._news = asyncio.Event()
         self._is_long_by_version: dict[int, bool] = {}
--- a/corianderspar/router/fleet.py
+++ b/corianderspar/router/fleet.py
@@ -223,7 +223,7 @@
         self._send_to_seeds()
 
     def hurry(self) -> None:
-        """Send the next beat to all, since there is news for all."""
+        """Send the next beat to all members, also in a large fleet."""
         self._is_hurried = True
 
     def distrust(self, vm: str) -> None:
--- a/corianderspar/router/rooms.py
+++ b/corianderspar/router/rooms.py
@@ -370,8 +370,8 @@
     def suspect(self, instance: str, now: float) -> None:
         """Give an engine that did not answer no work for a while.
 
-        Twice as long each time, until it answers; what fails meanwhile is
-        of the same silence.
+        The pause doubles with each failure until the engine answers;
+        failures during a pause count as one.
         """
         if self._avoided_until.get(instance, 0.0) > now:
             return
