Order the state of the store by its era and revision

Cause: in a drill the store returns from a copy some seconds old, with revisions that are given out again. A daemon skipped every change at or below the highest revision that it had seen, so it was deaf to configurations, withdrawn keys and registrations until the counter had caught up, and a watch from a revision that the copy lacks was taken for a compaction.

Change: positions are era and revision together, in the view, in what relays and peers pass on and in the staleness. A new era is read anew, relays first. The version in force never goes back, and a daemon that starts later gets it from its peers. What is known of an upstream (leaving, removed, started anew) is kept per process and outlives the store's record.

Builds before this one read the replies as before: what is new is sent beside the old form.

--- a/corianderspar/platform/protocol.py
+++ b/corianderspar/platform/protocol.py
@@ -20,6 +20,11 @@
 # Address and handle of the KV cache that another engine has prefilled.
 KV_SOURCE = b'x-kv-from'
 
+# Sent by an upstream that is about to leave, with the value 1.
+LEAVING = b'server-leaving'
+# Seconds, possibly with a fraction.
+RETRY_AFTER = b'retry-after'
+
 # Headers that only this system may set. They are removed from requests of
 # callers.
 RESERVED_HEADERS = frozenset(
@@ -53,6 +58,8 @@
     }
 )
 
+# In each answer of the store; an integer.
+STORE_ERA = b'store-era'
 STORE_KEY_PATH = '/-/kv-key'
 STORE_RANGE_PATH = '/-/kv-range'
 STORE_WATCH_PATH = '/-/kv-watch'
--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -63,6 +63,7 @@
         """Read the configuration and all registrations."""
         items: list[_Item] = []
         revision = 0
+        era = 0
         for prefix in (protocol.CONFIGURATION_KEY, protocol.UPSTREAM_PREFIX):
             after = ''
             for _page in range(MAX_PAGES):
@@ -74,13 +75,23 @@
                 )
                 if page.is_error():
                     return Error(page.error)
-                revision = revision or page.ok.as_of
-                items.extend(page.ok.items)
-                if not page.ok.has_more or not page.ok.items:
+                reply, page_era = page.ok
+                if revision and page_era != era:
+                    return Error(
+                        store.StoreError(
+                            'era_changed',
+                            f'pages of eras {era} and {page_era}',
+                            page_era,
+                        )
+                    )
+                era = page_era
+                revision = revision or reply.as_of
+                items.extend(reply.items)
+                if not reply.has_more or not reply.items:
                     break
-                after = page.ok.items[-1].key
+                after = reply.items[-1].key
         changes = tuple(filter(None, (_decode_change(item) for item in items)))
-        return Ok(store.Changes(revision, changes))
+        return Ok(store.Changes(revision, changes, era))
 
     async def watch(
         self, revision: int, wait: float
@@ -94,12 +105,16 @@
         reply = await self._get(protocol.STORE_WATCH_PATH, query, _WatchReply)
         if reply.is_error():
             return Error(reply.error)
-        changes = (_decode_change(item) for item in reply.ok.events)
-        return Ok(store.Changes(reply.ok.as_of, tuple(filter(None, changes))))
+        watched, era = reply.ok
+        changes = (_decode_change(item) for item in watched.events)
+        return Ok(
+            store.Changes(watched.as_of, tuple(filter(None, changes)), era)
+        )
 
     async def _get(
         self, path: str, query: dict[str, str], reply_type: type[T]
-    ) -> Result[T, store.StoreError]:
+    ) -> Result[tuple[T, int], store.StoreError]:
+        """Return the decoded body of an answer, and the era it states."""
         target = f'{path}?{parse.urlencode(query)}'
         host = f'{self._host}:{self._port}'.encode()
         request = connections.Request('GET', target, ((b'host', host),))
@@ -109,14 +124,21 @@
                 body = await response.read(MAX_BODY_BYTES)
         except connections.UpstreamError as error:
             return Error(store.StoreError('unreachable', error.detail))
+        stated_era = response.header(protocol.STORE_ERA)
+        try:
+            era = int(stated_era) if stated_era is not None else 0
+        except ValueError:
+            return Error(
+                store.StoreError('unreachable', f'era {stated_era!r}')
+            )
         if response.status == HTTP_GONE:
-            return Error(store.StoreError('compacted'))
+            return Error(store.StoreError('compacted', era=era))
         if response.status != 200:
             return Error(
-                store.StoreError('refused', f'status {response.status}')
+                store.StoreError('refused', f'status {response.status}', era)
             )
         try:
-            return Ok(msgspec.json.decode(body, type=reply_type))
+            return Ok((msgspec.json.decode(body, type=reply_type), era))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return Error(store.StoreError('unreachable', f'answer: {error}'))
 
--- a/corianderspar/platform/store_values.py
+++ b/corianderspar/platform/store_values.py
@@ -79,6 +79,8 @@
     state: str
     slots: int
     phase: str = ''
+    # Unix milliseconds of the start of the process.
+    born: int = 0
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -159,6 +161,7 @@
             _PHASE_BY_NAME[registration.phase],
             _READY_BY_STATE[registration.state],
             registration.slots,
+            registration.born,
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DecodeError(str(error)) from error
--- /dev/null
+++ b/corianderspar/router/adopted_configuration.py
@@ -0,0 +1,73 @@
+"""The configuration in force.
+
+Its version never goes back within a process, although the store may return
+from a copy that holds an older one. The operator then writes the lost
+configuration again, under the same or a higher version.
+"""
+
+import enum
+
+from corianderspar.router import model
+from corianderspar.router import state_messages
+
+
+class Outcome(enum.Enum):
+    """What became of a configuration that was offered."""
+
+    ADOPTED = 'adopted'
+    REPLACED = 'replaced'  # the same version with another content
+    KNOWN = 'known'
+    OLDER = 'older'
+
+
+class AdoptedConfiguration:
+    """The configuration in force, and where it comes from.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        None before the first.
+    era : int
+        Era of the store in which it was last read.
+    digest : int
+        As in `state_messages.EncodedConfiguration`; 0 for none.
+    is_too_large : bool
+        Whether it is too large for relays to send.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: model.Configuration | None = None
+        self.era = 0
+        self.digest = 0
+        self.is_too_large = False
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    def offer(self, configuration: model.Configuration, era: int) -> Outcome:
+        """Adopt a configuration unless the one in force is as new.
+
+        Of two configurations with the same version, the one read in the
+        later era is newer.
+        """
+        if configuration.version < self.version:
+            return Outcome.OLDER
+        is_same_version = configuration.version == self.version
+        if is_same_version and era <= self.era:
+            return Outcome.KNOWN
+        encoded = state_messages.measure_configuration(configuration)
+        self.era = max(era, self.era)
+        if is_same_version and encoded.digest == self.digest:
+            return Outcome.KNOWN
+        self.configuration = configuration
+        self.digest = encoded.digest
+        self.is_too_large = encoded.is_too_large
+        return Outcome.REPLACED if is_same_version else Outcome.ADOPTED
+
+    def is_behind(self, version: int, era: int, digest: int) -> bool:
+        """Return whether a peer's configuration is newer than this one."""
+        if version != self.version:
+            return version > self.version
+        return era > self.era and digest != self.digest
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -19,6 +19,13 @@
 from corianderspar.router import upstreams
 
 
+class _Write(NamedTuple):
+    """A write to a `FakeStore`, and when it was made."""
+
+    written_at: float
+    change: store.Change
+
+
 class FakeStore:
     """The platform's store; each VM reads it through a client of its own.
 
@@ -30,19 +37,18 @@
         VMs whose calls are refused.
     call_count : int
         Number of calls of all clients, including those that failed.
-    revision : int
-        Revision of the last change.
+    era, revision : int
+        Position of the last change.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.refused_vms: set[str] = set()
         self.call_count = 0
+        self.era = 1
         self.revision = 1
-        self._history: list[store.Change] = []
+        self._writes: list[_Write] = []
         self._oldest_kept = 1
-        self._configuration: model.Configuration | None = None
-        self._upstreams_by_instance: dict[str, model.Upstream] = {}
         self._changed = asyncio.Event()
 
     def client(self, vm: str) -> 'FakeStoreClient':
@@ -51,46 +57,64 @@
 
     def publish(self, configuration: model.Configuration) -> None:
         """Write a configuration."""
-        self._configuration = configuration
         self._write(configuration=configuration)
 
     def register(self, upstream: model.Upstream) -> None:
         """Write a registration."""
-        self._upstreams_by_instance[upstream.instance] = upstream
         self._write(instance=upstream.instance, upstream=upstream)
 
     def remove(self, instance: str) -> None:
         """Remove a registration."""
-        self._upstreams_by_instance.pop(instance, None)
         self._write(instance=instance)
 
     def compact(self) -> None:
         """Drop the history; watches from an older revision then fail."""
-        self._history.clear()
         self._oldest_kept = self.revision + 1
         self.revision += 1
         self._notify_watchers()
 
+    def return_from_copy(self, age: float) -> list[store.Change]:
+        """Go back to the state of ``age`` seconds ago, in a new era.
+
+        Returns
+        -------
+        list of Change
+            What was lost, in the order in which it was written.
+        """
+        now = asyncio.get_running_loop().time()
+        kept = [w for w in self._writes if w.written_at <= now - age]
+        lost = self._writes[len(kept) :]
+        self._writes = kept
+        self.era += 1
+        self.revision = kept[-1].change.revision if kept else 1
+        self._oldest_kept = 1
+        self._notify_watchers()
+        return [write.change for write in lost]
+
+    def write_again(self, change: store.Change) -> None:
+        """Write what was lost; it gets a revision of the present era."""
+        self._write(change.configuration, change.instance, change.upstream)
+
     def snapshot(self) -> store.Changes:
         """Return the configuration and all registrations."""
-        changes = [
-            store.Change(self.revision, instance=name, upstream=upstream)
-            for name, upstream in self._upstreams_by_instance.items()
-        ]
-        if self._configuration is not None:
-            changes.append(
-                store.Change(self.revision, configuration=self._configuration)
-            )
-        return store.Changes(self.revision, tuple(changes))
+        newest_by_key = {w.change.instance: w.change for w in self._writes}
+        changes = tuple(
+            change
+            for change in newest_by_key.values()
+            if change.upstream is not None or change.configuration is not None
+        )
+        return store.Changes(self.revision, changes, self.era)
 
     def changes_since(
         self, revision: int
     ) -> Result[store.Changes, store.StoreError]:
         """Return the changes after a revision."""
-        if revision + 1 < self._oldest_kept:
-            return Error(store.StoreError('compacted'))
-        changes = [c for c in self._history if c.revision > revision]
-        return Ok(store.Changes(self.revision, tuple(changes)))
+        if revision + 1 < self._oldest_kept or revision > self.revision:
+            return Error(store.StoreError('compacted', era=self.era))
+        changes = tuple(
+            w.change for w in self._writes if w.change.revision > revision
+        )
+        return Ok(store.Changes(self.revision, changes, self.era))
 
     async def wait_for_change(self, timeout: float) -> None:
         """Return at the next change, or after ``timeout`` seconds."""
@@ -107,9 +131,8 @@
         upstream: model.Upstream | None = None,
     ) -> None:
         self.revision += 1
-        self._history.append(
-            store.Change(self.revision, configuration, instance, upstream)
-        )
+        change = store.Change(self.revision, configuration, instance, upstream)
+        self._writes.append(_Write(asyncio.get_running_loop().time(), change))
         self._notify_watchers()
 
     def _notify_watchers(self) -> None:
@@ -148,7 +171,7 @@
         if fake_store.down:
             return Error(store.StoreError('unreachable'))
         if self._vm in fake_store.refused_vms:
-            return Error(store.StoreError('refused'))
+            return Error(store.StoreError('refused', era=fake_store.era))
         return None
 
 
--- a/corianderspar/router/model.py
+++ b/corianderspar/router/model.py
@@ -215,6 +215,9 @@
         False once it reported that it is leaving.
     slots : int
         Requests that it runs at the same time.
+    started_ms : int
+        Unix milliseconds of the start of the process, which tells apart two
+        processes that use the same instance; 0 if unknown.
     """
 
     instance: str
@@ -225,6 +228,7 @@
     phase: Phase
     ready: bool
     slots: int
+    started_ms: int = 0
 
     @property
     def address(self) -> str:
--- a/corianderspar/router/state_messages.py
+++ b/corianderspar/router/state_messages.py
@@ -1,13 +1,20 @@
-"""Messages in which daemons pass the state of the store to each other."""
+"""Messages in which daemons pass the state of the store to each other.
+
+Daemons of the build before eras of the store reject fields that they do not
+know. What they know is sent in a form of its own, and the rest beside it.
+"""
 
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from corianderspar.router import model
+from corianderspar.router import store
 
 # Over a link of 5 Mbit/s a relay sends this to 24 daemons in 0.6 s.
 MAX_RELAYED_CONFIGURATION_BYTES = 16 * 1024
+NO_ERA = -1  # stands for the era in requests of builds that know none
 
 
 class StateRequest(NamedTuple):
@@ -24,12 +31,18 @@
     can_read_store : bool
         Whether the requester can read the store itself, so that the peer
         need not send it a large configuration.
+    era : int
+        Era of the revision; `NO_ERA` for that of the peer.
+    configuration_digest : int
+        Digest of the requester's configuration; see `digest`.
     """
 
     revision: int
     version: int = 0
     wait: float = 0.0
     can_read_store: bool = False
+    era: int = NO_ERA
+    configuration_digest: int = 0
 
 
 class Registration(NamedTuple):
@@ -45,8 +58,8 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the store up to which the peer knows all changes.
+    position : Position
+        Up to which the peer knows all changes.
     staleness : float
         Seconds from the moment at which the peer verified its state as the
         newest to the arrival of the request; negative if it was verified
@@ -63,30 +76,112 @@
     is_snapshot : bool
         Whether ``registrations`` are complete, not only a delta.
     registrations : tuple of Registration
-        Those that changed after the requester's revision; for a snapshot all.
+        Those that changed after the requester's position; for a snapshot all.
+    era_age : float
+        Seconds since the peer learned that the era began.
+    configuration_era : int
+        Era in which the peer's configuration was last read from the store.
+    configuration_digest : int
+        Digest of the peer's configuration; see `digest`.
     """
 
-    revision: int
+    position: store.Position
     staleness: float
     outage_age: float
     version: int
     configuration: model.Configuration | None
     is_snapshot: bool
     registrations: tuple[Registration, ...]
+    era_age: float
+    configuration_era: int
+    configuration_digest: int
+
+
+class _BaseUpstream(NamedTuple):
+    """An upstream as builds without start times know it."""
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    phase: model.Phase
+    ready: bool
+    slots: int
+
+
+class _BaseRegistration(NamedTuple):
+    instance: str
+    revision: int
+    upstream: _BaseUpstream | None
+
+
+class _BaseReply(NamedTuple):
+    """The part of a reply that builds without eras know."""
+
+    revision: int
+    staleness: float
+    outage_age: float
+    version: int
+    configuration: model.Configuration | None
+    is_snapshot: bool
+    registrations: tuple[_BaseRegistration, ...]
+
+
+class _Extension(NamedTuple):
+    """The other part of a reply."""
+
+    era: int = 0
+    era_age: float = 0.0
+    configuration_era: int = 0
+    configuration_digest: int = 0
+    # By instance, for upstreams whose start time is known.
+    started_ms_by_instance: dict[str, int] = {}
 
 
 class EncodedStateReply(NamedTuple):
     """A `StateReply` in MessagePack, encoded once by its sender."""
 
     content: bytes
+    extension: bytes = b''
 
 
-_DECODER = msgspec.msgpack.Decoder(StateReply)
+_BASE_DECODER = msgspec.msgpack.Decoder(_BaseReply)
+_EXTENSION_DECODER = msgspec.msgpack.Decoder(_Extension)
 
 
 def encode(reply: StateReply) -> EncodedStateReply:
     """Encode a reply."""
-    return EncodedStateReply(msgspec.msgpack.encode(reply))
+    base = _BaseReply(
+        reply.position.revision,
+        reply.staleness,
+        reply.outage_age,
+        reply.version,
+        reply.configuration,
+        reply.is_snapshot,
+        tuple(
+            _BaseRegistration(
+                registration.instance,
+                registration.revision,
+                _base_upstream(registration.upstream),
+            )
+            for registration in reply.registrations
+        ),
+    )
+    extension = _Extension(
+        reply.position.era,
+        reply.era_age,
+        reply.configuration_era,
+        reply.configuration_digest,
+        {
+            registration.instance: registration.upstream.started_ms
+            for registration in reply.registrations
+            if registration.upstream and registration.upstream.started_ms
+        },
+    )
+    return EncodedStateReply(
+        msgspec.msgpack.encode(base), msgspec.msgpack.encode(extension)
+    )
 
 
 def decode(encoded: EncodedStateReply) -> StateReply:
@@ -97,10 +192,78 @@
     msgspec.MsgspecError
         If it is malformed.
     """
-    return _DECODER.decode(encoded.content)
+    base = _BASE_DECODER.decode(encoded.content)
+    extension = _Extension()
+    if encoded.extension:
+        extension = _EXTENSION_DECODER.decode(encoded.extension)
+    started_ms = extension.started_ms_by_instance
+    return StateReply(
+        store.Position(extension.era, base.revision),
+        base.staleness,
+        base.outage_age,
+        base.version,
+        base.configuration,
+        base.is_snapshot,
+        tuple(
+            Registration(
+                entry.instance,
+                entry.revision,
+                model.Upstream(
+                    *entry.upstream, started_ms.get(entry.instance, 0)
+                )
+                if entry.upstream
+                else None,
+            )
+            for entry in base.registrations
+        ),
+        extension.era_age,
+        extension.configuration_era,
+        extension.configuration_digest,
+    )
+
+
+def _base_upstream(upstream: model.Upstream | None) -> _BaseUpstream | None:
+    if upstream is None:
+        return None
+    return _BaseUpstream(
+        upstream.instance,
+        upstream.service,
+        upstream.host,
+        upstream.port,
+        upstream.data_centre,
+        upstream.phase,
+        upstream.ready,
+        upstream.slots,
+    )
+
+
+class EncodedConfiguration(NamedTuple):
+    """Size and digest of a configuration as daemons exchange it.
+
+    Attributes
+    ----------
+    is_too_large : bool
+        Whether it is too large for relays to send.
+    digest : int
+        Equal for equal configurations; never 0.
+    """
+
+    is_too_large: bool
+    digest: int
+
+
+def measure_configuration(
+    configuration: model.Configuration,
+) -> EncodedConfiguration:
+    """Return the size class and the digest of a configuration."""
+    content = msgspec.msgpack.encode(configuration)
+    return EncodedConfiguration(
+        len(content) > MAX_RELAYED_CONFIGURATION_BYTES,
+        # The lowest bit is set so that 0 stands for no configuration.
+        xxhash.xxh3_64_intdigest(content) | 1,
+    )
 
 
 def is_too_large(configuration: model.Configuration) -> bool:
     """Return whether a configuration is too large for relays to send."""
-    size = len(msgspec.msgpack.encode(configuration))
-    return size > MAX_RELAYED_CONFIGURATION_BYTES
+    return measure_configuration(configuration).is_too_large
--- a/corianderspar/router/store.py
+++ b/corianderspar/router/store.py
@@ -8,20 +8,41 @@
 from corianderspar.router import model
 
 
+class Position(NamedTuple):
+    """A point in the history of the store; positions are ordered.
+
+    Attributes
+    ----------
+    era : int
+        Rises by one each time the store returns from an older copy of its
+        data; 0 if the store states none.
+    revision : int
+        Rises with each change within an era. A new era gives revisions of
+        the one before out again.
+    """
+
+    era: int
+    revision: int
+
+
 class StoreError(NamedTuple):
     """Why a call to the store failed.
 
     Attributes
     ----------
     code : str
-        ``unreachable``, ``refused`` (the store is up and rejected the call)
-        or ``compacted`` (it no longer has the requested changes).
+        ``unreachable``, ``refused`` (the store is up and rejected the call),
+        ``compacted`` (it does not have the requested changes) or
+        ``era_changed`` (a new era began during the call).
     detail : str
         For the log.
+    era : int
+        Era that the answer stated; 0 if it stated none.
     """
 
     code: str
     detail: str = ''
+    era: int = 0
 
 
 class Change(NamedTuple):
@@ -57,10 +78,18 @@
         Revision from which to watch next.
     changes : tuple of Change
         Empty if nothing changed during the wait.
+    era : int
+        Era of the revisions.
     """
 
     revision: int
     changes: tuple[Change, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Era and revision from which to watch next."""
+        return Position(self.era, self.revision)
 
 
 class StoreClient(Protocol):
@@ -73,5 +102,9 @@
     async def watch(
         self, revision: int, wait: float
     ) -> Result[Changes, StoreError]:
-        """Wait up to ``wait`` seconds for changes after a revision."""
+        """Wait up to ``wait`` seconds for changes after a revision.
+
+        The answer may be of a later era than the revision, in which case
+        the changes are incomplete.
+        """
         ...
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -5,21 +5,31 @@
 store, or that the store refuses, asks its peers. Each state is passed on
 with its staleness: the time since it was verified as the newest. Within one
 process the version of the configuration never goes back.
+
+The store may return from an older copy of its data, which begins a new era
+of its revisions. States are ordered by era and revision together. The copy
+may lack a configuration that withdrew keys and that nobody has read, so an
+answer counts as verification only some time after the daemon learned of the
+era, by when the operator has written its configuration again (`verification`).
 """
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from expression import Result
 import msgspec
 
 from corianderspar import kernel
 from corianderspar import peers
+from corianderspar.router import adopted_configuration
 from corianderspar.router import membership
 from corianderspar.router import model
+from corianderspar.router import registrations
 from corianderspar.router import relays
 from corianderspar.router import state_messages
 from corianderspar.router import store
+from corianderspar.router import verification
 
 WATCH_SECONDS = 1.5  # of a long poll; a reader makes one call in this time
 STORE_TIMEOUT_SECONDS = 1.0  # beyond the wait; then the call is abandoned
@@ -30,9 +40,6 @@
 MAINTENANCE_SECONDS = 0.25  # between checks for due removals and silence
 STORE_SILENT_SECONDS = 0.5  # beyond a long poll; then peers are asked
 PEER_TIMEOUT_SECONDS = 0.4  # beyond the time that a peer may hold the reply
-# After an outage of the store, live upstreams renew their registrations
-# within this time.
-REMOVAL_GRACE_SECONDS = 2.0
 RELAY_WAIT_SECONDS = 1.0  # a relay holds its reply if nothing changes
 BATCH_SECONDS = 0.05  # changes within it go out in one reply
 STALE_SECONDS = 3.0  # WATCH_SECONDS, RELAY_WAIT_SECONDS and network delays
@@ -41,6 +48,25 @@
 FALLBACK_SECONDS = 1.0
 # A gap between answers that exceeds a long poll by this counts as an outage.
 OUTAGE_MARGIN_SECONDS = 0.6
+MIN_WATCH_SECONDS = 0.05  # of a long poll that ends with a rewrite
+# For which a peer may have a newer configuration before it is asked for it.
+# Relays bring it within that time.
+BEHIND_SECONDS = 0.5
+
+
+class _PeerState(NamedTuple):
+    """What a peer tells of its state with each heartbeat.
+
+    Attributes
+    ----------
+    version : int
+        Version of its configuration.
+    era : int
+        Era of the store.
+    """
+
+    version: int
+    era: int
 
 
 class StoreView:
@@ -53,16 +79,8 @@
 
     Attributes
     ----------
-    configuration : Configuration or None
-        The newest known; None before the first.
-    upstreams_by_instance : dict of str to Upstream
-        All registered upstreams. Those removed about the time of an outage
-        of the store stay for `REMOVAL_GRACE_SECONDS` after it.
-    revision : int
-        Revision of the store up to which all changes are known; 0 for none.
-    verified_at : float
-        Monotonic seconds at which this state was last verified as the
-        newest; -inf for never.
+    position : Position
+        Era and revision of the store up to which all changes are known.
     store_calls : int
         Number of calls to the store.
     on_upstreams_change : list of callable
@@ -73,25 +91,21 @@
     requires: tuple[str, ...] = ('peers', 'fleet')
 
     def __init__(self, client: store.StoreClient) -> None:
-        self.configuration: model.Configuration | None = None
-        self.upstreams_by_instance: dict[str, model.Upstream] = {}
-        self.revision = 0
-        self.verified_at = float('-inf')
+        self.position = store.Position(0, 0)
         self.store_calls = 0
         self.on_upstreams_change: list[Callable[[], None]] = []
         self._client = client
-        self._revisions_by_instance: dict[str, int] = {}
-        self._removals_due_by_instance: dict[str, float] = {}
+        self._adopted = adopted_configuration.AdoptedConfiguration()
+        self._verification = verification.Verification()
+        self._registrations = registrations.Registrations(self._log)
         self._answered_at = float('-inf')
         self._outage_at = float('-inf')
         self._is_store_lost = False
         self._has_snapshot = False
-        # Single removals before this revision are unknown, so a peer at an
-        # older revision gets a snapshot.
-        self._snapshot_revision = 0
         self._changed = asyncio.Event()
-        self._is_too_large_by_version: dict[int, bool] = {}
         self._fallback_at = float('-inf')
+        # A peer with a newer state, and since when that is known.
+        self._ahead: tuple[str, float] | None = None
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to follow the store."""
@@ -103,6 +117,9 @@
             'want', state_messages.StateRequest, self._on_state_request
         )
         self._peers.add_reply_type('word', state_messages.EncodedStateReply)
+        self._membership.add_section(
+            'state', self._provide_state, self._accept_state
+        )
         self._answered_at = app.clock.monotonic()
         app.spawn(self.name, 'follow', self._follow())
         app.spawn(self.name, 'tend', self._maintain())
@@ -110,6 +127,21 @@
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
 
+    @property
+    def configuration(self) -> model.Configuration | None:
+        """The newest configuration; None before the first."""
+        return self._adopted.configuration
+
+    @property
+    def upstreams_by_instance(self) -> dict[str, model.Upstream]:
+        """As in `registrations.Registrations`."""
+        return self._registrations.upstreams_by_instance
+
+    @property
+    def verified_at(self) -> float:
+        """Monotonic seconds of the last verification; -inf for never."""
+        return self._verification.verified_at
+
     def staleness(self) -> float:
         """Return the seconds since this state was verified as the newest."""
         return self._app.clock.monotonic() - self.verified_at
@@ -122,22 +154,61 @@
             if upstream.service == service and upstream.ready
         ]
 
+    def mark_leaving(self, upstream: model.Upstream, source: str) -> bool:
+        """Give an upstream no new requests, as it announced that it leaves.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            What announced it.
+        source : str
+            How it is known, for the log.
+
+        Returns
+        -------
+        bool
+            Whether the upstream was in use.
+        """
+        is_new = self._registrations.mark_leaving(upstream, self.position.era)
+        if is_new:
+            self._log(
+                'upstream.leaving',
+                instance=upstream.instance,
+                service=upstream.service,
+                source=source,
+            )
+            self._notify_upstreams_changed()
+        return is_new
+
+    def _log(self, name: str, **fields: object) -> None:
+        self._app.events.add(name, **fields)
+
     async def _follow(self) -> None:
         clock = self._app.clock
         while True:
-            relay = self._relays.choose() if self._has_snapshot else None
+            # Without a state, or if this daemon is a relay, read the store.
+            relay = self._relays.choose() if self.position.revision else None
             if relay is None:
                 await self._read_store(WATCH_SECONDS)
                 continue
             if relay:
                 await self._poll_relay(relay)
             is_due = clock.monotonic() - self._fallback_at >= FALLBACK_SECONDS
-            if is_due and self.staleness() > STALE_SECONDS:
+            if is_due and self._is_stale():
                 self._fallback_at = clock.monotonic()
                 await self._read_store(0.0)
             elif not relay:
                 await clock.sleep(STORE_RETRY_SECONDS)
 
+    def _is_stale(self) -> bool:
+        """Return whether the relays fail to keep the state verified."""
+        now = self._app.clock.monotonic()
+        return (
+            self.staleness() > STALE_SECONDS
+            and self._verification.era_age(now)
+            > verification.REWRITE_SECONDS + STORE_TIMEOUT_SECONDS
+        )
+
     async def _read_store(self, wait: float) -> None:
         """Call the store once; after a failure wait before returning.
 
@@ -148,48 +219,138 @@
         """
         clock = self._app.clock
         began = clock.monotonic()
+        before = self.position
+        if self._verification.is_pending:
+            # Another call verifies the state as soon as that is possible.
+            remaining = self._verification.rewrite_remaining(began)
+            wait = min(wait, max(remaining, MIN_WATCH_SECONDS))
+        is_snapshot = not self._has_snapshot
         self.store_calls += 1
-        if self._has_snapshot:
+        if is_snapshot:
             result = await self._call_store(
-                self._client.watch(self.revision, wait),
-                wait + STORE_TIMEOUT_SECONDS,
+                self._client.read(), 2 * STORE_TIMEOUT_SECONDS
             )
         else:
             result = await self._call_store(
-                self._client.read(), 2 * STORE_TIMEOUT_SECONDS
+                self._client.watch(before.revision, wait),
+                wait + STORE_TIMEOUT_SECONDS,
             )
         if result.is_error():
-            self._record_failure(result.error)
-            if result.error.code == 'compacted':
-                self._has_snapshot = False
-                return
-            await clock.sleep(STORE_RETRY_SECONDS)
+            await self._handle_failure(result.error)
             return
         found = result.ok
+        if found.era < self._verification.era or found.position < before:
+            self._log(
+                'store.behind',
+                era=found.era,
+                revision=found.revision,
+                known_era=before.era,
+                known_revision=before.revision,
+            )
+            await self._handle_failure(
+                store.StoreError('unreachable', 'answer is behind')
+            )
+            return
+        is_new_era = self._enter_era(found.era, 'store')
         self._record_answer(clock.monotonic())
-        if self._has_snapshot:
-            self._apply_changes(found.changes, self._outage_at)
-        else:
-            self._apply_snapshot(found.changes, self._outage_at)
-            self._snapshot_revision = found.revision
-        self._has_snapshot = True
-        self._advance(found.revision)
+        if is_new_era and not is_snapshot:
+            # The changes are those since the same revision of another era.
+            return
+        self._apply(found, is_snapshot)
         verified_at = began
         min_hold = wait * LONG_POLL_SHARE
         if not found.changes and clock.monotonic() - began >= min_hold:
             # The store held the call that long without a change.
             verified_at = began + min_hold
-        self.verified_at = max(self.verified_at, verified_at)
+        self._verify(verified_at)
+
+    def _apply(self, found: store.Changes, is_snapshot: bool) -> None:
+        """Apply an answer of the store."""
+        for change in found.changes:
+            if change.fault:
+                self._log(
+                    'store.unreadable',
+                    instance=change.instance,
+                    revision=change.revision,
+                    why=change.fault,
+                )
+            if change.configuration is not None:
+                self._adopt(change.configuration, found.era, 'store')
+        changes = [change for change in found.changes if change.instance]
+        self._apply_registrations(
+            changes, found.position, is_snapshot, self._outage_at
+        )
+        self._advance(found.position)
+
+    def _apply_registrations(
+        self,
+        changes: list[store.Change],
+        position: store.Position,
+        is_snapshot: bool,
+        outage_at: float,
+    ) -> None:
+        now = self._app.clock.monotonic()
+        if is_snapshot:
+            self._registrations.apply_snapshot(
+                changes, position, now, outage_at
+            )
+        else:
+            self._registrations.apply_changes(
+                changes, position.era, now, outage_at
+            )
+        self._has_snapshot = True
+        self._notify_upstreams_changed()
+
+    def _notify_upstreams_changed(self) -> None:
+        for hook in self.on_upstreams_change:
+            hook()
+
+    def _enter_era(self, era: int, source: str, age: float = 0.0) -> bool:
+        """Adopt the era of an answer; return whether it is a new one.
+
+        Parameters
+        ----------
+        era : int
+            Not below the present one.
+        source : str
+            Where the answer comes from, for the log.
+        age : float
+            As in `verification.Verification.enter`.
+        """
+        now = self._app.clock.monotonic()
+        before = self._verification.era
+        if not self._verification.enter(era, now, age):
+            return False
+        self._has_snapshot = False
+        # Upstreams that the copy lacks may register again.
+        self._outage_at = now
+        self._log(
+            'store.era',
+            era=era,
+            before=before,
+            revision_before=self.position.revision,
+            source=source,
+            version=self._adopted.version,
+        )
+        return True
+
+    def _verify(self, at: float) -> None:
+        if self._verification.verify(at):
+            self._log(
+                'store.verified',
+                era=self.position.era,
+                revision=self.position.revision,
+                version=self._adopted.version,
+            )
+            # Followers wait for it.
+            self._wake()
 
     async def _poll_relay(self, relay: str) -> None:
         """Ask a relay for changes; it may hold the request until one."""
         clock = self._app.clock
         began = clock.monotonic()
-        request = state_messages.StateRequest(
-            self.revision,
-            self._version,
-            RELAY_WAIT_SECONDS,
-            can_read_store=not self._is_store_lost,
+        request = self._state_request(
+            RELAY_WAIT_SECONDS, can_read_store=not self._is_store_lost
         )
         reply = await self._peers.ask(
             relay, request, RELAY_WAIT_SECONDS + PEER_TIMEOUT_SECONDS
@@ -198,27 +359,43 @@
             self._relays.mark_unresponsive(relay, reply.error.code)
             return
         state = self._decode(relay, reply.ok)
-        if state is None or state.revision < self.revision:
+        if state is None or state.position < self.position:
             self._relays.mark_unresponsive(relay, 'behind')
             return
-        if state.version > self._version and state.configuration is None:
+        if self._lacks_configuration(state):
             await self._read_store(0.0)
             return
         self._apply_reply(relay, state, began)
-        if self.staleness() < STALE_SECONDS:
-            self._record_answer(clock.monotonic())
-        else:
+        if self._is_stale():
             self._relays.mark_unresponsive(relay, 'stale')
+        else:
+            self._record_answer(clock.monotonic())
 
-    @property
-    def _version(self) -> int:
-        return self.configuration.version if self.configuration else 0
+    def _state_request(
+        self, wait: float, *, can_read_store: bool
+    ) -> state_messages.StateRequest:
+        return state_messages.StateRequest(
+            self.position.revision,
+            self._adopted.version,
+            wait,
+            can_read_store,
+            self.position.era,
+            self._adopted.digest,
+        )
 
-    def _advance(self, revision: int) -> None:
-        if revision <= self.revision:
-            return
-        self.revision = revision
-        # Wakes the requests that are held; later ones wait for a new event.
+    def _lacks_configuration(self, state: state_messages.StateReply) -> bool:
+        """Return whether a peer withheld a configuration that is newer."""
+        return state.configuration is None and self._adopted.is_behind(
+            state.version, state.configuration_era, state.configuration_digest
+        )
+
+    def _advance(self, position: store.Position) -> None:
+        if position > self.position:
+            self.position = position
+            self._wake()
+
+    def _wake(self) -> None:
+        """Reply to the requests that are held; later ones wait anew."""
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -238,218 +415,163 @@
         if self._is_store_lost:
             self._is_store_lost = False
             self._outage_at = now
-            self._app.events.add('store.regained', revision=self.revision)
+            self._log('store.regained', revision=self.position.revision)
 
-    def _record_failure(self, error: store.StoreError) -> None:
+    async def _handle_failure(self, error: store.StoreError) -> None:
+        """Record a failed call, and wait unless another can follow at once."""
+        if error.era > self._verification.era and self.position.revision:
+            self._enter_era(error.era, 'store')
         if error.code == 'compacted':
-            self._app.events.add('store.compacted', revision=self.revision)
+            self._log(
+                'store.compacted',
+                era=error.era,
+                revision=self.position.revision,
+            )
+            self._has_snapshot = False
+            return
+        if error.code == 'era_changed':
             return
         if not self._is_store_lost:
             self._is_store_lost = True
-            self._app.events.add(
-                'store.lost', code=error.code, detail=error.detail
-            )
+            self._log('store.lost', code=error.code, detail=error.detail)
         self._outage_at = self._app.clock.monotonic()
+        await self._app.clock.sleep(STORE_RETRY_SECONDS)
 
-    def _apply_snapshot(
-        self, changes: tuple[store.Change, ...], outage_at: float
+    def _adopt(
+        self, configuration: model.Configuration, era: int, source: str
     ) -> None:
-        """Replace the registrations by those of a snapshot.
-
-        Parameters
-        ----------
-        changes : tuple of Change
-            Everything in the store.
-        outage_at : float
-            Monotonic seconds at which the source of the changes was last cut
-            off from the store.
-        """
-        present = {change.instance for change in changes if change.upstream}
-        for instance in list(self.upstreams_by_instance):
-            if instance not in present:
-                self._remove_upstream(instance, 'missing', outage_at)
-        self._apply_changes(changes, outage_at)
-
-    def _apply_changes(
-        self, changes: tuple[store.Change, ...], outage_at: float
-    ) -> None:
-        """Apply changes; ``outage_at`` is as in `_apply_snapshot`."""
-        for change in changes:
-            if change.fault:
-                self._app.events.add(
-                    'store.unreadable',
-                    instance=change.instance,
-                    revision=change.revision,
-                    why=change.fault,
-                )
-            if change.configuration is not None:
-                self._adopt(change.configuration, 'store')
-            if not change.instance:
-                continue
-            known = self._revisions_by_instance.get(change.instance, 0)
-            if change.revision < known:
-                continue
-            self._revisions_by_instance[change.instance] = change.revision
-            if change.upstream is None:
-                self._remove_upstream(change.instance, 'removed', outage_at)
-            else:
-                self._add_upstream(change.upstream, change.revision)
-        for hook in self.on_upstreams_change:
-            hook()
-
-    def _adopt(self, configuration: model.Configuration, source: str) -> None:
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
+        before = self._adopted.version
+        outcome = self._adopted.offer(configuration, era)
+        if outcome is adopted_configuration.Outcome.KNOWN:
             return
-        self.configuration = configuration
-        self._app.events.add(
-            'configuration.adopted',
+        self._log(
+            f'configuration.{outcome.value}',
             version=configuration.version,
-            before=known.version if known else 0,
+            before=before,
+            era=era,
             source=source,
         )
 
-    def _add_upstream(self, upstream: model.Upstream, revision: int) -> None:
-        self._removals_due_by_instance.pop(upstream.instance, None)
-        known = self.upstreams_by_instance.get(upstream.instance)
-        self.upstreams_by_instance[upstream.instance] = upstream
-        if known != upstream:
-            self._app.events.add(
-                'upstream.registered',
-                instance=upstream.instance,
-                service=upstream.service,
-                address=upstream.address,
-                phase=upstream.phase.value,
-                ready=upstream.ready,
-                revision=revision,
-            )
-
-    def _remove_upstream(
-        self, instance: str, reason: str, outage_at: float
-    ) -> None:
-        if instance not in self.upstreams_by_instance:
-            return
-        now = self._app.clock.monotonic()
-        if now - outage_at < REMOVAL_GRACE_SECONDS:
-            # The outage may have kept the upstream from renewing its
-            # registration.
-            self._removals_due_by_instance.setdefault(
-                instance, outage_at + REMOVAL_GRACE_SECONDS
-            )
-            return
-        self._drop_upstream(instance, reason)
-
-    def _drop_upstream(self, instance: str, reason: str) -> None:
-        self._removals_due_by_instance.pop(instance, None)
-        del self.upstreams_by_instance[instance]
-        self._app.events.add(
-            'upstream.gone',
-            instance=instance,
-            why=reason,
-            revision=self.revision,
-        )
-
     async def _maintain(self) -> None:
-        """Drop upstreams that are due; ask peers while the store is lost."""
+        """Apply what is due; ask peers while the store is lost."""
         while True:
             await self._app.clock.sleep(MAINTENANCE_SECONDS)
-            self._drop_due()
-            silence = self._app.clock.monotonic() - self._answered_at
-            if self._is_store_lost or (
+            now = self._app.clock.monotonic()
+            if self._registrations.apply_due(now, self.position.era):
+                self._notify_upstreams_changed()
+            silence = now - self._answered_at
+            if self._ahead is not None and now - self._ahead[1] >= (
+                BEHIND_SECONDS
+            ):
+                vm, _since = self._ahead
+                self._ahead = None
+                await self._ask_peer(vm)
+            elif self._is_store_lost or (
                 silence >= WATCH_SECONDS + STORE_SILENT_SECONDS
             ):
                 await self._ask_random_peer()
 
-    def _drop_due(self) -> None:
-        now = self._app.clock.monotonic()
-        due = [
-            i for i, t in self._removals_due_by_instance.items() if t <= now
-        ]
-        for instance in due:
-            self._drop_upstream(instance, 'lapsed')
-        if due:
-            for hook in self.on_upstreams_change:
-                hook()
-
     async def _ask_random_peer(self) -> None:
         own = self._app.identity.vm
         others = [vm for vm in self._membership.live() if vm != own]
-        if not others:
-            return
-        vm = self._app.rng.choice(others)
+        if others:
+            await self._ask_peer(self._app.rng.choice(others))
+
+    async def _ask_peer(self, vm: str) -> None:
         began = self._app.clock.monotonic()
-        request = state_messages.StateRequest(self.revision, self._version)
+        request = self._state_request(0.0, can_read_store=False)
         reply = await self._peers.ask(vm, request, PEER_TIMEOUT_SECONDS)
         state = self._decode(vm, reply.ok) if reply.is_ok() else None
         if state is not None:
             self._apply_reply(vm, state, began)
 
+    def _provide_state(self, _vm: str) -> bytes | None:
+        return msgspec.msgpack.encode(
+            _PeerState(self._adopted.version, self._verification.era)
+        )
+
+    def _accept_state(self, sender: peers.Sender, content: bytes) -> None:
+        """Note a peer that knows a newer configuration or a later era.
+
+        The store may have lost the configuration, and a connection to the
+        store from before the era may hang.
+        """
+        try:
+            state = msgspec.msgpack.decode(content, type=_PeerState)
+        except msgspec.MsgspecError as error:
+            self._log('peer.unreadable', peer=sender.vm, why=error)
+            return
+        now = self._app.clock.monotonic()
+        if state.era > self._verification.era and self.position.revision:
+            self._ahead = sender.vm, now - BEHIND_SECONDS
+        elif state.version > self._adopted.version:
+            if self._ahead is None:
+                self._ahead = sender.vm, now
+        elif self._ahead is not None and self._ahead[0] == sender.vm:
+            self._ahead = None
+
     async def _on_state_request(
         self, _sender: peers.Sender, request: state_messages.StateRequest
     ) -> state_messages.EncodedStateReply | None:
         """Reply to a peer at the next change or at the end of its wait."""
-        if self.revision == 0:
+        if not self.position.revision:
             return None
         clock = self._app.clock
         received = clock.monotonic()
-        if request.wait and request.revision >= self.revision:
+        if request.wait and self._requested_position(request) >= self.position:
             try:
                 async with asyncio.timeout(request.wait):
                     await self._changed.wait()
                 await clock.sleep(BATCH_SECONDS)
             except TimeoutError:
                 pass  # the reply says that nothing changed
-        is_snapshot = request.revision < self._snapshot_revision
-        config = self.configuration
-        if config is not None and config.version <= request.version:
-            config = None
-        if (
-            config is not None
-            and request.can_read_store
-            and self._is_too_large(config)
-        ):
-            config = None
+        requested = self._requested_position(request)
+        is_snapshot = (
+            requested.era < self.position.era
+            or requested.revision < self._registrations.complete_after
+        )
         now = clock.monotonic()
         return state_messages.encode(
             state_messages.StateReply(
-                self.revision,
+                self.position,
                 self.staleness() - (now - received),
                 now - self._outage_at,
-                self._version,
-                config,
+                self._adopted.version,
+                self._configuration_for(request),
                 is_snapshot,
-                self._registrations_after(
-                    0 if is_snapshot else request.revision
+                tuple(
+                    state_messages.Registration(*entry)
+                    for entry in self._registrations.entries_after(
+                        0 if is_snapshot else requested.revision
+                    )
                 ),
+                self._verification.era_age(now),
+                self._adopted.era,
+                self._adopted.digest,
             )
         )
 
-    def _registrations_after(
-        self, after: int
-    ) -> tuple[state_messages.Registration, ...]:
-        """Return the registrations and removals after a revision.
-
-        An upstream whose removal is put off is given as removed: the receiver
-        decides by ``outage_age`` whether to put the removal off as well.
-        """
-        return tuple(
-            state_messages.Registration(
-                instance,
-                revision,
-                None
-                if instance in self._removals_due_by_instance
-                else self.upstreams_by_instance.get(instance),
-            )
-            for instance, revision in self._revisions_by_instance.items()
-            if revision > after
-        )
-
-    def _is_too_large(self, config: model.Configuration) -> bool:
-        known = self._is_too_large_by_version.get(config.version)
-        if known is None:
-            known = state_messages.is_too_large(config)
-            self._is_too_large_by_version = {config.version: known}
-        return known
+    def _requested_position(
+        self, request: state_messages.StateRequest
+    ) -> store.Position:
+        era = request.era
+        if era == state_messages.NO_ERA:
+            era = self.position.era
+        return store.Position(era, request.revision)
+
+    def _configuration_for(
+        self, request: state_messages.StateRequest
+    ) -> model.Configuration | None:
+        """Return the configuration if a peer lacks it and can receive it."""
+        adopted = self._adopted
+        if request.version > adopted.version or (
+            request.version == adopted.version
+            and request.configuration_digest in (0, adopted.digest)
+        ):
+            return None
+        if request.can_read_store and adopted.is_too_large:
+            return None
+        return adopted.configuration
 
     def _decode(
         self, vm: str, encoded: state_messages.EncodedStateReply
@@ -457,7 +579,7 @@
         try:
             return state_messages.decode(encoded)
         except msgspec.MsgspecError as error:
-            self._app.events.add('peer.unreadable', peer=vm, why=error)
+            self._log('peer.unreadable', peer=vm, why=error)
             return None
 
     def _apply_reply(
@@ -465,6 +587,9 @@
     ) -> None:
         """Adopt the state of a peer unless it is older than this one.
 
+        The configuration is adopted from a peer at an older position too: a
+        store that returned from a copy may have lost it.
+
         Parameters
         ----------
         vm : str
@@ -474,46 +599,43 @@
         began : float
             Monotonic seconds at which the request was sent.
         """
-        if state.revision < self.revision:
+        if state.configuration is not None:
+            self._adopt(state.configuration, state.configuration_era, vm)
+        position = state.position
+        if position < self.position or position.era < self._verification.era:
             return
-        if state.version > self._version and state.configuration is None:
+        if self._lacks_configuration(state) or (
+            position.era > self.position.era and not state.is_snapshot
+        ):
             return
-        if state.configuration is not None:
-            self._adopt(state.configuration, vm)
-        outage_at = self._app.clock.monotonic() - state.outage_age
-        if state.revision > self.revision:
-            self._apply_registrations(state, outage_at)
+        self._enter_era(position.era, vm, state.era_age)
+        now = self._app.clock.monotonic()
+        if position > self.position:
+            changes = [
+                store.Change(
+                    registration.revision,
+                    instance=registration.instance,
+                    upstream=registration.upstream,
+                )
+                for registration in state.registrations
+            ]
+            self._apply_registrations(
+                changes, position, state.is_snapshot, now - state.outage_age
+            )
         before = self.staleness()
         # The staleness is that at the arrival of the request. `began` is
         # earlier, so the result is never later than the peer's own.
-        self.verified_at = max(self.verified_at, began - state.staleness)
-        self._advance(state.revision)
+        self._verify(began - state.staleness)
+        self._advance(position)
         if self.staleness() < before - STALE_SECONDS:
-            self._app.events.add(
+            self._log(
                 'beliefs.from_peer',
                 peer=vm,
-                revision=state.revision,
+                era=position.era,
+                revision=position.revision,
                 age=f'{self.staleness():.3f}',
             )
 
-    def _apply_registrations(
-        self, state: state_messages.StateReply, outage_at: float
-    ) -> None:
-        changes = tuple(
-            store.Change(
-                registration.revision,
-                instance=registration.instance,
-                upstream=registration.upstream,
-            )
-            for registration in state.registrations
-        )
-        if state.is_snapshot:
-            self._apply_snapshot(changes, outage_at)
-            self._snapshot_revision = state.revision
-        else:
-            self._apply_changes(changes, outage_at)
-        self._has_snapshot = True
-
 
 def _unreachable(
     detail: str,
