Heed upstreams that leave or that ask for a pause

Cause: an upstream that leaves says so in its answers, and one that refuses with 503 may say for how long; the daemon read neither, and kept sending to both.

Change: the adapter reports both from the head of every answer. The daemon sends nothing new to a process that leaves, and tells the home of its service. A pause binds the daemon that was asked; it excludes the instance in what it submits, whichever daemon is home, and checks again right before a send. If all upstreams of a plain service are paused, a request is refused at once with the time of the first end. A 421 that names another instance ends the process that had the address for good.

--- a/corianderspar/platform/upstream_calls.py
+++ b/corianderspar/platform/upstream_calls.py
@@ -15,6 +15,7 @@
 
 MAX_SHORT_BODY_BYTES = 64 * 1024  # of a refusal or the reply to a prefill
 HTTP_MISDIRECTED_REQUEST = 421  # another instance has the address
+HTTP_SERVICE_UNAVAILABLE = 503
 
 
 class _PrefillReply(msgspec.Struct):
@@ -58,6 +59,7 @@
 
     def __init__(self, pool: connections.ConnectionPool) -> None:
         self._pool = pool
+        self.on_notice: list[upstreams.NoticeHook] = []
 
     async def connect(
         self, upstream: model.Upstream
@@ -133,11 +135,20 @@
             response = await self._pool.send(
                 upstream.host, upstream.port, http_request, upstream.instance
             )
+            self._report_notice(upstream, response)
             async with response:
                 await response.read(MAX_SHORT_BODY_BYTES)
         except connections.UpstreamError:
             return
 
+    def _report_notice(
+        self, upstream: model.Upstream, response: connections.Response
+    ) -> None:
+        notice = _read_notice(upstream, response)
+        if notice != _NO_NOTICE:
+            for hook in self.on_notice:
+                hook(upstream, notice)
+
     async def _send(
         self,
         upstream: model.Upstream,
@@ -174,12 +185,39 @@
             if not error.sent:
                 fault = upstreams.Fault.NOT_SENT
             return Error(upstreams.Failure(fault, error.detail))
+        self._report_notice(upstream, response)
         is_misdirected = response.status == HTTP_MISDIRECTED_REQUEST
         if response.header(protocol.NOT_RUN) is None and not is_misdirected:
             return Ok(response)
         return await _refusal(response, is_misdirected)
 
 
+_NO_NOTICE = upstreams.Notice()
+
+
+def _read_notice(
+    upstream: model.Upstream, response: connections.Response
+) -> upstreams.Notice:
+    """Return what the head of an answer states about its upstream."""
+    instance = response.header(protocol.INSTANCE)
+    stated = response.header(protocol.RETRY_AFTER)
+    pause: float | None = None
+    unreadable_pause = ''
+    if stated is not None and response.status == HTTP_SERVICE_UNAVAILABLE:
+        try:
+            pause = float(stated)
+        except ValueError:
+            unreadable_pause = stated.decode('latin-1')
+    return upstreams.Notice(
+        response.header(protocol.LEAVING) == b'1',
+        response.status == HTTP_MISDIRECTED_REQUEST
+        and instance is not None
+        and instance != upstream.instance.encode(),
+        pause,
+        unreadable_pause,
+    )
+
+
 async def _refusal(
     response: connections.Response, is_misdirected: bool
 ) -> Result[connections.Response, upstreams.Failure]:
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -17,6 +17,7 @@
 from corianderspar.router import store_view
 from corianderspar.router import telemetry
 from corianderspar.router import token_buckets
+from corianderspar.router import upstream_notices
 from corianderspar.router import upstreams
 
 
@@ -84,6 +85,7 @@
         membership.Membership(address, seeds),
         store_view.StoreView(adapters.store),
         placement.Placement(),
+        upstream_notices.UpstreamNotices(adapters.calls),
         retries.RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         ),
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -171,6 +171,11 @@
                 'Age of its proof.',
                 self._store_view.staleness,
             ),
+            (
+                'store_era',
+                'Rises when the store returns from an older copy.',
+                lambda: self._store_view.position.era,
+            ),
             ('daemons_heard', 'Share, 0 to 1.', self._membership.live_share),
             ('daemons_known', 'With this one.', self._membership.size),
             (
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -15,6 +15,7 @@
 from corianderspar.router import scheduler
 from corianderspar.router import store_view
 from corianderspar.router import telemetry
+from corianderspar.router import upstream_notices
 from corianderspar.router import upstreams
 
 MAX_ROUNDS = 4  # of placement, prefill and decode for one request
@@ -84,6 +85,7 @@
     name = 'engine_calls'
     requires: tuple[str, ...] = (
         'beliefs',
+        'notices',
         'placement',
         'quarantine',
         'retries',
@@ -101,6 +103,7 @@
         self._quarantine = app.find('quarantine', quarantine.Quarantine)
         self._retry_budgets = app.find('retries', retries.RetryBudgets)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
+        self._notices = app.find('notices', upstream_notices.UpstreamNotices)
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -136,8 +139,13 @@
                 if not isinstance(reservation, placement.HeldReservation):
                     self._release(prefilled)
             if isinstance(reservation, scheduler.Refusal):
+                pause = self._notices.pause_remaining(
+                    context.matched.service.name
+                )
                 raise context.error(
-                    'no_room', reservation.reason, reservation.retry_after
+                    'no_room',
+                    reservation.reason,
+                    max(reservation.retry_after, pause or 0.0),
                 )
             result = _RoundResult(False)
             try:
@@ -208,7 +216,10 @@
             context.priority,
             objective,
             timeout,
-            excluded,
+            (
+                *excluded,
+                *self._notices.paused_instances(context.matched.service.name),
+            ),
             is_prefilled,
             context.is_retry,
             has_begun,
@@ -256,6 +267,9 @@
             if prefill_engine is None:
                 reason = 'prefill engine unknown'
                 return _RoundResult(False, reason, reservation.grant.prefill)
+            refused = self._refuse_unusable(context, prefill_engine, None)
+            if refused is not None:
+                return refused
             connect_failure = await self._connect(
                 context, reservation, decode_engine
             )
@@ -267,6 +281,9 @@
             if isinstance(prefill_result, _RoundResult):
                 return prefill_result
             prefilled = prefill_result
+        refused = self._refuse_unusable(context, decode_engine, prefilled)
+        if refused is not None:
+            return refused
         if context.reached_count and not await self._withdraw_retry(context):
             self._release(prefilled)
             return _NO_RETRY_BUDGET
@@ -274,6 +291,30 @@
             context, parser, reservation, decode_engine, prefilled
         )
 
+    def _refuse_unusable(
+        self,
+        context: request_context.RequestContext,
+        engine: model.Upstream,
+        prefilled: _Prefilled | None,
+    ) -> _RoundResult | None:
+        """Return the end of a round if an engine wants no requests now.
+
+        The engine may have stated that after it was granted, or to this
+        daemon alone.
+        """
+        reason = self._notices.refusal_reason(engine)
+        if not reason:
+            return None
+        self._app.events.add(
+            'request.not_sent',
+            request=context.request.request_id,
+            upstream=engine.instance,
+            why=reason,
+        )
+        return _RoundResult(
+            False, reason, engine.instance, prefilled=prefilled
+        )
+
     async def _connect(
         self,
         context: request_context.RequestContext,
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -197,6 +197,8 @@
     accepts_connections : bool
         Whether connecting succeeds although requests are not sent, which is
         the fault `upstreams.Fault.NOT_SENT`.
+    notice : Notice
+        What each answer states about the upstream.
     """
 
     delay: float = 0.05
@@ -207,22 +209,24 @@
     breaks_after: int | None = None
     misdirected: bool = False
     accepts_connections: bool = False
+    notice: upstreams.Notice = upstreams.Notice()
 
 
 class RecordedCall(NamedTuple):
     """A call to an upstream, as the caller of the interface made it.
 
-    Its kind is 'run', 'prefill' or 'decode'.
+    Its kind is 'run', 'prefill' or 'decode'. ``vm`` is the VM that made it.
     """
 
     kind: str
     instance: str
     request: model.CallerRequest
     options: upstreams.CallOptions
+    vm: str
 
 
 class FakeUpstreams:
-    """All upstreams; implements `upstreams.UpstreamCalls`.
+    """All upstreams; each VM calls them through a client of its own.
 
     Attributes
     ----------
@@ -242,15 +246,32 @@
         self.released_handles: list[str] = []
         self.open_answers = 0
 
+    def client(self, vm: str) -> 'FakeUpstreamCalls':
+        """Return the client of a VM."""
+        return FakeUpstreamCalls(self, vm)
+
     def kinds_and_instances(self) -> list[tuple[str, str]]:
         """Return kind and instance of each call."""
         return [(call.kind, call.instance) for call in self.calls]
 
+    def behaviour(self, upstream: model.Upstream) -> Behaviour:
+        """Return the present behaviour of an upstream."""
+        return self.behaviours_by_instance.get(upstream.instance, Behaviour())
+
+
+class FakeUpstreamCalls:
+    """One VM's calls to upstreams; implements `upstreams.UpstreamCalls`."""
+
+    def __init__(self, fake_upstreams: FakeUpstreams, vm: str) -> None:
+        self.on_notice: list[upstreams.NoticeHook] = []
+        self._upstreams = fake_upstreams
+        self._vm = vm
+
     async def connect(
         self, upstream: model.Upstream
     ) -> Result[None, upstreams.Failure]:
         """Connect; fail if the upstream accepts no connections."""
-        behaviour = self._behaviour(upstream)
+        behaviour = self._upstreams.behaviour(upstream)
         is_unreachable = behaviour.fault is upstreams.Fault.NOT_SENT
         if is_unreachable and not behaviour.accepts_connections:
             return Error(
@@ -269,14 +290,12 @@
     ) -> Result[upstreams.Answer, upstreams.Failure]:
         """Run a request, or decode it from a prefill."""
         kind = 'run' if source is None else 'decode'
-        self.calls.append(
-            RecordedCall(kind, upstream.instance, request, options)
-        )
-        behaviour = self._behaviour(upstream)
-        failure = await self._begin_call(behaviour)
+        behaviour, failure = await self._call(kind, upstream, request, options)
         if failure is not None:
             return Error(failure)
-        return Ok(FakeAnswer(self, behaviour, upstream, request, options))
+        return Ok(
+            FakeAnswer(self._upstreams, behaviour, upstream, request, options)
+        )
 
     async def prefill(
         self,
@@ -285,10 +304,9 @@
         options: upstreams.CallOptions,
     ) -> Result[upstreams.PrefillHandle, upstreams.Failure]:
         """Prefill a request."""
-        self.calls.append(
-            RecordedCall('prefill', upstream.instance, request, options)
+        _behaviour, failure = await self._call(
+            'prefill', upstream, request, options
         )
-        failure = await self._begin_call(self._behaviour(upstream))
         if failure is not None:
             return Error(failure)
         handle = f'{upstream.instance}/{request.request_id}'
@@ -296,22 +314,33 @@
 
     async def release(self, handle: upstreams.PrefillHandle) -> None:
         """Release the KV cache memory of a prefill."""
-        self.released_handles.append(handle.handle)
+        self._upstreams.released_handles.append(handle.handle)
 
-    def _behaviour(self, upstream: model.Upstream) -> Behaviour:
-        return self.behaviours_by_instance.get(upstream.instance, Behaviour())
-
-    async def _begin_call(
-        self, behaviour: Behaviour
-    ) -> upstreams.Failure | None:
+    async def _call(
+        self,
+        kind: str,
+        upstream: model.Upstream,
+        request: model.CallerRequest,
+        options: upstreams.CallOptions,
+    ) -> tuple[Behaviour, upstreams.Failure | None]:
+        """Record a call; return the behaviour, and a failure if it fails."""
+        self._upstreams.calls.append(
+            RecordedCall(kind, upstream.instance, request, options, self._vm)
+        )
+        behaviour = self._upstreams.behaviour(upstream)
         if behaviour.fault is upstreams.Fault.NOT_SENT:
-            return upstreams.Failure(behaviour.fault, 'connection refused')
-        await asyncio.sleep(behaviour.delay)
-        if behaviour.fault is not None:
-            return upstreams.Failure(
-                behaviour.fault, behaviour.fault.value, behaviour.misdirected
+            return behaviour, upstreams.Failure(
+                behaviour.fault, 'connection refused'
             )
-        return None
+        await asyncio.sleep(behaviour.delay)
+        if behaviour.notice != upstreams.Notice():
+            for hook in self.on_notice:
+                hook(upstream, behaviour.notice)
+        if behaviour.fault is None:
+            return behaviour, None
+        return behaviour, upstreams.Failure(
+            behaviour.fault, behaviour.fault.value, behaviour.misdirected
+        )
 
 
 class FakeAnswer:
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -15,6 +15,7 @@
 from corianderspar import peers
 from corianderspar.router import homes
 from corianderspar.router import membership
+from corianderspar.router import model
 from corianderspar.router import scheduler
 from corianderspar.router import store_view
 
@@ -93,16 +94,20 @@
     event : str
         ``read`` (the prompt has been prefilled), ``whole`` (the answer was
         generated to its end), ``ended`` (any other end), ``full`` (the
-        decode engine refused the request) or ``silent`` (an engine did not
-        answer).
+        decode engine refused the request), ``silent`` (an engine did not
+        answer) or ``leaving`` (an engine announced that it leaves; this
+        concerns no single job).
     instance : str
-        The engine that was full or did not answer.
+        The engine that was full, did not answer or leaves.
+    started_ms : int
+        Start of that engine's process if it leaves, as in `Upstream`.
     """
 
     service: str
     job_id: str
     event: str
     instance: str = ''
+    started_ms: int = 0
 
 
 class HeldReservation(NamedTuple):
@@ -258,6 +263,21 @@
             ),
         )
 
+    def report_leaving(self, upstream: model.Upstream) -> None:
+        """Tell the home that an engine announced that it leaves."""
+        if upstream.phase is model.Phase.PLAIN:
+            return
+        self._send_event(
+            self.home(upstream.service),
+            ReservationEvent(
+                upstream.service,
+                '',
+                'leaving',
+                upstream.instance,
+                upstream.started_ms,
+            ),
+        )
+
     def home(self, service: str) -> str:
         """Return the VM that is home of a service."""
         return self._homes.home(service)
@@ -403,6 +423,9 @@
         self._apply_event(event)
 
     def _apply_event(self, event: ReservationEvent) -> None:
+        if event.event == 'leaving':
+            self._apply_leaving(event)
+            return
         service_scheduler = self.scheduler_for(event.service)
         if service_scheduler is None:
             return
@@ -422,6 +445,11 @@
             service_scheduler.suspect(event.instance, now)
         self._schedule_backlog(service_scheduler, now)
 
+    def _apply_leaving(self, event: ReservationEvent) -> None:
+        engine = self._store_view.upstreams_by_instance.get(event.instance)
+        if engine is not None and event.started_ms in (0, engine.started_ms):
+            self._store_view.mark_leaving(engine, 'peer')
+
     def _schedule_backlog(
         self, service_scheduler: scheduler.Scheduler, now: float
     ) -> None:
--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -14,6 +14,7 @@
 from corianderspar.router import selection
 from corianderspar.router import store_view
 from corianderspar.router import telemetry
+from corianderspar.router import upstream_notices
 from corianderspar.router import upstreams
 
 MAX_SENDS = 3  # of one request, including those that upstreams refuse
@@ -39,7 +40,12 @@
     """
 
     name = 'plain_calls'
-    requires: tuple[str, ...] = ('beliefs', 'retries', 'telemetry')
+    requires: tuple[str, ...] = (
+        'beliefs',
+        'notices',
+        'retries',
+        'telemetry',
+    )
 
     def __init__(self, calls: upstreams.UpstreamCalls) -> None:
         self._calls = calls
@@ -50,6 +56,7 @@
         self._store_view = app.find('beliefs', store_view.StoreView)
         self._retry_budgets = app.find('retries', retries.RetryBudgets)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
+        self._notices = app.find('notices', upstream_notices.UpstreamNotices)
         self._selector = selection.UpstreamSelector(app.identity.data_centre)
         self._store_view.on_upstreams_change.append(self._on_upstreams_changed)
 
@@ -74,7 +81,9 @@
         reason = 'no upstream'
         while context.send_count < MAX_SENDS:
             upstream = self._selector.choose(
-                self._store_view.ready_upstreams(service),
+                self._notices.usable(
+                    self._store_view.ready_upstreams(service)
+                ),
                 excluded,
                 self._app.clock.monotonic(),
             )
@@ -101,6 +110,9 @@
                 if result.error.fault is upstreams.Fault.BROKEN:
                     answer = None
         if answer is None:
+            pause = self._notices.pause_remaining(service)
+            if pause is not None:
+                raise context.error('upstreams_paused', reason, pause)
             raise context.error('upstream_failed', reason)
         await context.exchange.answer(
             answer.status, answer.headers, answer.body
--- a/corianderspar/router/upstreams.py
+++ b/corianderspar/router/upstreams.py
@@ -1,6 +1,7 @@
 """The interface through which upstreams are called."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import enum
 from typing import NamedTuple
 from typing import Protocol
@@ -77,6 +78,31 @@
     handle: str
 
 
+class Notice(NamedTuple):
+    """What an answer states about its upstream, besides the answer.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether the upstream announces that it is about to leave.
+    is_replaced : bool
+        Whether another instance has the upstream's address.
+    pause : float or None
+        Seconds for which the upstream, which refused a request, wants no
+        further ones from this daemon; None if it does not ask for that.
+    unreadable_pause : str
+        Value of a pause that is no time; empty if there is none.
+    """
+
+    is_leaving: bool = False
+    is_replaced: bool = False
+    pause: float | None = None
+    unreadable_pause: str = ''
+
+
+NoticeHook = Callable[[model.Upstream, Notice], None]
+
+
 class Answer(Protocol):
     """An answer whose status and headers have arrived."""
 
@@ -111,7 +137,16 @@
 
 
 class UpstreamCalls(Protocol):
-    """Calls to upstreams. No call is retried."""
+    """Calls to upstreams. No call is retried.
+
+    Attributes
+    ----------
+    on_notice : list of callable
+        Hooks called with the upstream and the notice of each answer that
+        states anything about its upstream, when the head was read.
+    """
+
+    on_notice: list[NoticeHook]
 
     async def connect(self, upstream: model.Upstream) -> Result[None, Failure]:
         """Connect unless a kept connection is open; send no request."""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -99,6 +99,8 @@
         self.history = []
         self.revision = 10
         self.status = 200
+        self.era = None
+        self.next_eras = []  # of the next answers, one each
         self.page_size = 2
         self.requests = []
         self._changed = asyncio.Event()
@@ -136,8 +138,11 @@
     async def __call__(self, scope, receive, send):
         query = dict(parse.parse_qsl(scope['query_string'].decode()))
         self.requests.append((scope['path'], query))
+        if self.next_eras:
+            self.era = self.next_eras.pop(0)
+        headers = () if self.era is None else (('store-era', self.era),)
         if self.status != 200:
-            await send_reply(send, self.status, {})
+            await send_reply(send, self.status, {}, headers)
             return
         prefix = query.get('prefix', '')
         if scope['path'] == '/-/kv-range':
@@ -161,7 +166,7 @@
                 except TimeoutError:
                     pass
             body = {'events': self._items_since(after, prefix)}
-        await send_reply(send, 200, body | {'as_of': self.revision})
+        await send_reply(send, 200, body | {'as_of': self.revision}, headers)
 
     def _items_since(self, after, prefix):
         return [
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -61,3 +61,33 @@
     pool.close()
     async with asyncio.timeout(TIMEOUT_SECONDS):
         assert (await client.read()).error.code == 'unreachable'
+
+
+async def test_era_is_read_from_every_answer():
+    server, client, pool = await open_client()
+    server.write('op/config', fakes.CONFIGURATION)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        assert (await client.read()).ok.era == 0
+        server.era = '7'
+        assert (await client.read()).ok.era == 7
+        assert (await client.watch(0, 0.1)).ok.era == 7
+        for status in (410, 503):
+            server.status = status
+            assert (await client.watch(1, 0.1)).error.era == 7
+        server.status = 200
+        server.era = 'x'
+        assert (await client.read()).error.code == 'unreachable'
+    pool.close()
+    await server.stop()
+
+
+async def test_pages_of_two_eras_are_not_joined():
+    server, client, pool = await open_client()
+    for number in range(5):
+        server.write(f'servers/i-{number}', b'not readable')
+    server.next_eras = ['7', '7', '8']
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        error = (await client.read()).error
+    assert error.code == 'era_changed' and error.era == 8
+    pool.close()
+    await server.stop()
--- /dev/null
+++ b/tests/platform/test_upstream_calls.py
@@ -0,0 +1,82 @@
+import asyncio
+
+import pytest
+
+from corianderspar import http_server
+from corianderspar.platform import upstream_calls
+from corianderspar.router import connections
+from corianderspar.router import model
+from corianderspar.router import upstreams
+from tests.platform import fakes
+
+TIMEOUT_SECONDS = 5.0  # per step; longer means that it hangs
+REQUEST = model.CallerRequest(
+    'r1', 'GET', '/x', 'h', '/x', ((b'host', b'h'),), '', 5.0, None, None
+)
+OPTIONS = upstreams.CallOptions('parish', 5.0)
+
+
+class _Server:
+    """Answers each request with one status and fixed headers."""
+
+    def __init__(self, status, headers):
+        self._status = status
+        self._headers = headers
+
+    async def __call__(self, _scope, receive, send):
+        await receive()
+        await fakes.send_reply(send, self._status, {}, self._headers)
+
+
+async def notices_of(status, headers):
+    server = http_server.HttpServer(_Server(status, headers), '127.0.0.1:0')
+    await server.start()
+    host, port = server.address.rsplit(':', 1)
+    upstream = model.Upstream(
+        'i-1', 'shop', host, int(port), 'z', model.Phase.PLAIN, True, 6
+    )
+    pool = connections.ConnectionPool()
+    calls = upstream_calls.HttpUpstreamCalls(pool)
+    found = []
+    calls.on_notice.append(lambda _upstream, notice: found.append(notice))
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        await calls.run(upstream, REQUEST, OPTIONS)
+        await calls.prefill(upstream, REQUEST, OPTIONS)
+        await calls.release(upstreams.PrefillHandle(upstream, 'abc'))
+    pool.close()
+    await server.abort()
+    return found
+
+
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+async def test_leaving_is_read_from_every_answer(status):
+    found = await notices_of(status, (('server-leaving', '1'),))
+    assert found == [upstreams.Notice(is_leaving=True)] * 3
+
+
+async def test_answer_that_states_nothing_gives_no_notice():
+    assert not await notices_of(200, ())
+    assert not await notices_of(200, (('server-leaving', '0'),))
+
+
+@pytest.mark.parametrize(
+    ('text', 'notice'),
+    [
+        ('3', upstreams.Notice(pause=3.0)),
+        ('0.25', upstreams.Notice(pause=0.25)),
+        ('soon', upstreams.Notice(unreadable_pause='soon')),
+    ],
+)
+async def test_pause_is_read_from_a_refusal(text, notice):
+    headers = (('x-not-run', '1'), ('retry-after', text))
+    assert await notices_of(503, headers) == [notice] * 3
+
+
+async def test_retry_time_of_another_answer_is_no_pause():
+    assert not await notices_of(200, (('retry-after', '3'),))
+
+
+async def test_other_instance_at_the_address_is_recognised():
+    found = await notices_of(421, (('x-instance-id', 'i-2'),))
+    assert found == [upstreams.Notice(is_replaced=True)] * 3
+    assert not await notices_of(421, (('x-instance-id', 'i-1'),))
--- a/tests/router/system.py
+++ b/tests/router/system.py
@@ -105,7 +105,7 @@
         adapters = assembly.Adapters(
             memory_channel,
             self.store.client(vm),
-            self.upstreams,
+            self.upstreams.client(vm),
             fakes.FakeCallerFormat(),
         )
         assembly.add_services(
