Let daemons that start together get their state from a few of them

Cause: every daemon that started read the store by itself, with one call for the configuration and one or more for the registrations.

Change: at the first start of the fleet, which the settings tell (bootstrap), daemons listen for 1 s, relays read the store, and the others ask them. After a restart a daemon asks any peer, and reads the store if it has no state after 0.3 s.

--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -13,6 +13,7 @@
 from corianderspar import problems
 from corianderspar.router import assembly
 from corianderspar.router import daemon
+from corianderspar.router import store_view
 from corianderspar.router import token_buckets
 
 
@@ -51,6 +52,8 @@
     bounds: _Bounds
     ip: str
     seeds: list[str] = []
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 class Settings(msgspec.Struct):
@@ -98,6 +101,9 @@
                     bounds.budget_ratio,
                     bounds.budget_slack,
                     bounds.budget_window_s,
+                    store_view.StartPolicy.PEERS_AT_FIRST_START
+                    if file.bootstrap
+                    else store_view.StartPolicy.PEERS_AT_RESTART,
                 ),
             ),
             host,
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -34,6 +34,8 @@
         As in `token_buckets.TokenBuckets`.
     retry_ratio, retry_slack, retry_window : float
         As in `retry_budget.RetryBudget`.
+    start_policy : StartPolicy
+        As in `store_view.StoreView`.
     """
 
     max_staleness_seconds: float = 5.0
@@ -44,6 +46,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window: float = 10.0
+    start_policy: store_view.StartPolicy = store_view.StartPolicy.STORE
 
 
 class Adapters(NamedTuple):
@@ -83,7 +86,7 @@
     for service in (
         peers.Peers(adapters.channel),
         membership.Membership(address, seeds),
-        store_view.StoreView(adapters.store),
+        store_view.StoreView(adapters.store, bounds.start_policy),
         placement.Placement(),
         upstream_notices.UpstreamNotices(adapters.calls),
         retries.RetryBudgets(
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -15,6 +15,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 from typing import NamedTuple
 
 from expression import Result
@@ -54,6 +55,27 @@
 BEHIND_SECONDS = 0.5
 
 
+# At the first start of a fleet, until a daemon has heard of the others.
+GATHER_SECONDS = 1.0
+# At the first start of a fleet, for a relay to read the store.
+FIRST_START_SECONDS = 4.0
+# At a later start, for a peer to pass its state on.
+RESTART_SECONDS = 0.3
+START_INTERVAL_SECONDS = 0.03  # between looks at the members known so far
+
+
+class StartPolicy(enum.Enum):
+    """Where a daemon that starts gets its first state from.
+
+    In a large fleet the daemons that start together would otherwise all call
+    the store at the same moment.
+    """
+
+    STORE = 'store'
+    PEERS_AT_FIRST_START = 'peers at first start'  # peers have no state either
+    PEERS_AT_RESTART = 'peers at restart'
+
+
 class _PeerState(NamedTuple):
     """What a peer tells of its state with each heartbeat.
 
@@ -76,6 +98,8 @@
     ----------
     client : StoreClient
         Reads the store.
+    start_policy : StartPolicy
+        Where the first state comes from.
 
     Attributes
     ----------
@@ -90,11 +114,16 @@
     name = 'beliefs'
     requires: tuple[str, ...] = ('peers', 'fleet')
 
-    def __init__(self, client: store.StoreClient) -> None:
+    def __init__(
+        self,
+        client: store.StoreClient,
+        start_policy: StartPolicy = StartPolicy.STORE,
+    ) -> None:
         self.position = store.Position(0, 0)
         self.store_calls = 0
         self.on_upstreams_change: list[Callable[[], None]] = []
         self._client = client
+        self._start_policy = start_policy
         self._adopted = adopted_configuration.AdoptedConfiguration()
         self._verification = verification.Verification()
         self._registrations = registrations.Registrations(self._log)
@@ -183,8 +212,54 @@
     def _log(self, name: str, **fields: object) -> None:
         self._app.events.add(name, **fields)
 
+    async def _start_from_peers(self) -> None:
+        """Get the first state from peers, if they have it in time."""
+        clock = self._app.clock
+        began = clock.monotonic()
+        is_first = self._start_policy is StartPolicy.PEERS_AT_FIRST_START
+        limit = FIRST_START_SECONDS if is_first else RESTART_SECONDS
+        if is_first:
+            await clock.sleep(GATHER_SECONDS)
+            if not self._membership.is_large:
+                return
+        while not self.position.revision:
+            remaining = began + limit - clock.monotonic()
+            if remaining <= 0:
+                break
+            relay = self._relays.choose() if is_first else self._random_peer()
+            if is_first and relay is None:
+                break
+            if relay:
+                await self._ask_for_first_state(relay, remaining)
+            if not self.position.revision:
+                await clock.sleep(START_INTERVAL_SECONDS)
+        self._log(
+            'store.first_state',
+            revision=self.position.revision,
+            seconds=f'{clock.monotonic() - began:.3f}',
+        )
+
+    async def _ask_for_first_state(self, vm: str, seconds: float) -> None:
+        began = self._app.clock.monotonic()
+        wait = max(seconds - PEER_TIMEOUT_SECONDS, 0.0)
+        request = self._state_request(wait, can_read_store=True)
+        reply = await self._peers.ask(vm, request, seconds)
+        if reply.is_error():
+            self._relays.mark_unresponsive(vm, reply.error.code)
+            return
+        state = self._decode(vm, reply.ok)
+        if state is not None:
+            self._apply_reply(vm, state, began)
+
+    def _random_peer(self) -> str | None:
+        own = self._app.identity.vm
+        others = [vm for vm in self._membership.live() if vm != own]
+        return self._app.rng.choice(others) if others else None
+
     async def _follow(self) -> None:
         clock = self._app.clock
+        if self._start_policy is not StartPolicy.STORE:
+            await self._start_from_peers()
         while True:
             # Without a state, or if this daemon is a relay, read the store.
             relay = self._relays.choose() if self.position.revision else None
@@ -472,10 +547,9 @@
                 await self._ask_random_peer()
 
     async def _ask_random_peer(self) -> None:
-        own = self._app.identity.vm
-        others = [vm for vm in self._membership.live() if vm != own]
-        if others:
-            await self._ask_peer(self._app.rng.choice(others))
+        vm = self._random_peer()
+        if vm is not None:
+            await self._ask_peer(vm)
 
     async def _ask_peer(self, vm: str) -> None:
         began = self._app.clock.monotonic()
@@ -514,8 +588,6 @@
         self, _sender: peers.Sender, request: state_messages.StateRequest
     ) -> state_messages.EncodedStateReply | None:
         """Reply to a peer at the next change or at the end of its wait."""
-        if not self.position.revision:
-            return None
         clock = self._app.clock
         received = clock.monotonic()
         if request.wait and self._requested_position(request) >= self.position:
@@ -525,6 +597,8 @@
                 await clock.sleep(BATCH_SECONDS)
             except TimeoutError:
                 pass  # the reply says that nothing changed
+        if not self.position.revision:
+            return None
         requested = self._requested_position(request)
         is_snapshot = (
             requested.era < self.position.era
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,4 +1,7 @@
+import pytest
+
 from corianderspar import platform
+from corianderspar.router import store_view
 
 VALID_SETTINGS = """
 node = "front-1"
@@ -43,3 +46,19 @@
         (finding,) = platform.load(path).error
         assert finding.place == str(path) and finding.seen
     assert platform.load(tmp_path / 'missing').is_error()
+
+
+@pytest.mark.parametrize(
+    ('text', 'policy'),
+    [
+        ('', store_view.StartPolicy.PEERS_AT_RESTART),
+        ('bootstrap = true', store_view.StartPolicy.PEERS_AT_FIRST_START),
+        ('bootstrap = false', store_view.StartPolicy.PEERS_AT_RESTART),
+    ],
+)
+def test_first_start_of_the_fleet_is_told_from_a_restart(
+    tmp_path, text, policy
+):
+    path = tmp_path / 'local.toml'
+    path.write_text(f'{text}\n{VALID_SETTINGS}')
+    assert platform.load(path).ok.router.bounds.start_policy is policy
