Read the store by two root relays, whatever the data centres

Cause: two relays in each data centre read the store.

Change: two root relays read the store; the relays of a data centre ask one of them, and followers ask those. A relay that loses its root reads the store at once. A daemon that becomes a reader verifies its state first, and one that lost its relay lets the next hold the reply less.

Ruled out: longer polls, which leave too little of the 4.7 s in which keys count as verified once a relay dies.

In virtual time with four data centres: two callers, at most 22 calls in 15 s; keys stay verified when root relays or relays of a data centre die, are refused by the store or are cut off.

--- a/corianderspar/router/relays.py
+++ b/corianderspar/router/relays.py
@@ -1,18 +1,56 @@
 """Choice of the daemons that read the store for others.
 
 In a large fleet each change of the store would otherwise cost a call by
-every daemon. A few relays in each data centre read the store, and the other
-daemons ask one of them. Daemons that disagree on which members are alive
-disagree on the relays, in which case a few more read the store; the state is
-correct whoever passes it on, as its staleness comes with it.
+every daemon. Two root relays read the store. Two relays in each data centre
+ask a root relay, and the other daemons ask a relay of their data centre. So
+the calls to the store grow neither with the daemons nor with the data centres.
+
+Daemons that disagree on which members are alive disagree on the relays, in
+which case a few more read the store; the state is correct whoever passes it
+on, as its staleness comes with it.
 """
 
+import enum
+from typing import NamedTuple
+
 from corianderspar import kernel
 from corianderspar import rendezvous
 from corianderspar.router import membership
 
-RELAYS_PER_DATA_CENTRE = 2  # with one failed the others can go on at once
+ROOT_RELAYS = 2  # with one failed the others can go on at once
+RELAYS_PER_DATA_CENTRE = 2
 SKIP_SECONDS = 2.0  # during which a relay that failed to answer is skipped
+# Seconds for which a relay holds a reply if nothing changes. The staleness of
+# a follower is at most that of a root relay and the sum of both.
+ROOT_HOLD_SECONDS = 0.5
+HOLD_SECONDS = 1.0
+
+
+class Role(enum.Enum):
+    """What a daemon does to know the state of the store."""
+
+    READER = 'reader'  # reads the store
+    RELAY = 'relay'  # asks a root relay, for its data centre
+    FOLLOWER = 'follower'  # asks a relay of its data centre
+
+
+class Source(NamedTuple):
+    """Where a daemon gets the state from.
+
+    Attributes
+    ----------
+    role : Role
+        The role of this daemon.
+    vm : str
+        VM of the relay to ask; empty for a reader, and if all relays are
+        skipped at present.
+    hold : float
+        Seconds for which that relay may hold its reply.
+    """
+
+    role: Role
+    vm: str = ''
+    hold: float = 0.0
 
 
 class Relays:
@@ -33,29 +71,32 @@
         self._membership = members
         self._unresponsive_until_by_vm: dict[str, float] = {}
 
-    def choose(self) -> str | None:
-        """Return the VM of the relay to ask.
-
-        Returns
-        -------
-        str or None
-            None if this daemon is to read the store itself; empty if it is
-            to ask a relay but all of them are skipped at present.
-        """
+    def choose(self) -> Source:
+        """Return where this daemon gets the state from."""
         live = self._membership.live()
         if len(live) <= membership.SMALL_FLEET_DAEMONS:
-            return None
+            return Source(Role.READER)
         own = self._app.identity
+        roots = rendezvous.rank('store', live)[:ROOT_RELAYS]
+        if own.vm in roots:
+            return Source(Role.READER)
         local = [
             vm
             for vm in live
             if vm == own.vm
             or self._membership.members()[vm].data_centre == own.data_centre
         ]
+        relays = rendezvous.rank('store', local)[:RELAYS_PER_DATA_CENTRE]
+        if own.vm in relays:
+            return Source(
+                Role.RELAY, self._first_responsive(roots), ROOT_HOLD_SECONDS
+            )
+        return Source(
+            Role.FOLLOWER, self._first_responsive(relays), HOLD_SECONDS
+        )
+
+    def _first_responsive(self, ranked: list[str]) -> str:
         now = self._app.clock.monotonic()
-        ranked = rendezvous.rank('store', local)[:RELAYS_PER_DATA_CENTRE]
-        if own.vm in ranked:
-            return None
         for vm in ranked:
             if self._unresponsive_until_by_vm.get(vm, 0.0) <= now:
                 return vm
--- a/corianderspar/router/scheduler.py
+++ b/corianderspar/router/scheduler.py
@@ -327,6 +327,8 @@
     def schedule_backlog(self, now: float) -> list[tuple[Job, Decision]]:
         """Place or refuse jobs of the backlog; return these decisions."""
         decisions: list[tuple[Job, Decision]] = []
+        if not self._backlog_by_id:
+            return decisions
         uses_by_instance = self._uses_by_instance(now)
         failed: list[Job] = []
         for job in self._ordered_backlog(now):
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -41,9 +41,9 @@
 MAINTENANCE_SECONDS = 0.25  # between checks for due removals and silence
 STORE_SILENT_SECONDS = 0.5  # beyond a long poll; then peers are asked
 PEER_TIMEOUT_SECONDS = 0.4  # beyond the time that a peer may hold the reply
-RELAY_WAIT_SECONDS = 1.0  # a relay holds its reply if nothing changes
+MIN_HOLD = 0.25  # seconds, so that a stale state does not cause many polls
 BATCH_SECONDS = 0.05  # changes within it go out in one reply
-STALE_SECONDS = 3.0  # WATCH_SECONDS, RELAY_WAIT_SECONDS and network delays
+STALE_SECONDS = 3.0  # a long poll, both holds of `relays`, and delays
 # Between calls to the store while the relays' state is stale, as many daemons
 # may make them at once.
 FALLBACK_SECONDS = 1.0
@@ -226,11 +226,16 @@
             remaining = began + limit - clock.monotonic()
             if remaining <= 0:
                 break
-            relay = self._relays.choose() if is_first else self._random_peer()
-            if is_first and relay is None:
-                break
-            if relay:
-                await self._ask_for_first_state(relay, remaining)
+            vm: str | None
+            if is_first:
+                source = self._relays.choose()
+                if source.role is relays.Role.READER:
+                    break
+                vm = source.vm
+            else:
+                vm = self._random_peer()
+            if vm:
+                await self._ask_for_first_state(vm, remaining)
             if not self.position.revision:
                 await clock.sleep(START_INTERVAL_SECONDS)
         self._log(
@@ -261,18 +266,27 @@
         if self._start_policy is not StartPolicy.STORE:
             await self._start_from_peers()
         while True:
-            # Without a state, or if this daemon is a relay, read the store.
-            relay = self._relays.choose() if self.position.revision else None
-            if relay is None:
-                await self._read_store(WATCH_SECONDS)
+            source = self._relays.choose()
+            if source.role is relays.Role.READER or not self.position.revision:
+                # A daemon that has just become a reader verifies its state
+                # at once.
+                is_late = (
+                    self.staleness() > WATCH_SECONDS + STORE_TIMEOUT_SECONDS
+                )
+                await self._read_store(0.0 if is_late else WATCH_SECONDS)
+                continue
+            is_current = False
+            if source.vm:
+                is_current = await self._poll_relay(source)
+            if is_current:
                 continue
-            if relay:
-                await self._poll_relay(relay)
             is_due = clock.monotonic() - self._fallback_at >= FALLBACK_SECONDS
-            if is_due and self._is_stale():
+            # Only a few daemons are relays, and many depend on each of them.
+            is_relay = source.role is relays.Role.RELAY
+            if is_due and (is_relay or self._is_stale()):
                 self._fallback_at = clock.monotonic()
                 await self._read_store(0.0)
-            elif not relay:
+            elif not source.vm:
                 await clock.sleep(STORE_RETRY_SECONDS)
 
     def _is_stale(self) -> bool:
@@ -298,7 +312,7 @@
         if self._verification.is_pending:
             # Another call verifies the state as soon as that is possible.
             remaining = self._verification.rewrite_remaining(began)
-            wait = min(wait, max(remaining, MIN_WATCH_SECONDS))
+            wait = max(min(wait, remaining), MIN_WATCH_SECONDS)
         is_snapshot = not self._has_snapshot
         self.store_calls += 1
         if is_snapshot:
@@ -420,31 +434,43 @@
             # Followers wait for it.
             self._wake()
 
-    async def _poll_relay(self, relay: str) -> None:
-        """Ask a relay for changes; it may hold the request until one."""
+    async def _poll_relay(self, source: relays.Source) -> bool:
+        """Ask a relay for changes; it may hold the request until one.
+
+        Returns
+        -------
+        bool
+            Whether the state is as new as a relay should keep it.
+        """
         clock = self._app.clock
         began = clock.monotonic()
+        relay = source.vm
+        # A daemon that lost its relay has little time to ask the next one.
+        hold = min(
+            source.hold, max(STALE_SECONDS - self.staleness(), MIN_HOLD)
+        )
         request = self._state_request(
-            RELAY_WAIT_SECONDS, can_read_store=not self._is_store_lost
+            hold, can_read_store=not self._is_store_lost
         )
         reply = await self._peers.ask(
-            relay, request, RELAY_WAIT_SECONDS + PEER_TIMEOUT_SECONDS
+            relay, request, hold + PEER_TIMEOUT_SECONDS
         )
         if reply.is_error():
             self._relays.mark_unresponsive(relay, reply.error.code)
-            return
+            return False
         state = self._decode(relay, reply.ok)
         if state is None or state.position < self.position:
             self._relays.mark_unresponsive(relay, 'behind')
-            return
+            return False
         if self._lacks_configuration(state):
             await self._read_store(0.0)
-            return
+            return True
         self._apply_reply(relay, state, began)
         if self._is_stale():
             self._relays.mark_unresponsive(relay, 'stale')
-        else:
-            self._record_answer(clock.monotonic())
+            return False
+        self._record_answer(clock.monotonic())
+        return True
 
     def _state_request(
         self, wait: float, *, can_read_store: bool
--- a/tests/router/system.py
+++ b/tests/router/system.py
@@ -92,10 +92,10 @@
         for each in UPSTREAMS:
             self.store.register(each)
 
-    async def start(self, vm, seeds=('vm1:1',), **bounds):
+    async def start(self, vm, seeds=('vm1:1',), data_centre='a', **bounds):
         self._sequence += 1
         app = kernel.Application(
-            kernel.Identity(vm, 'a', 'r'),
+            kernel.Identity(vm, data_centre, 'r'),
             clock.VirtualClock(1_800_000_000.0 + self._sequence),
             random.Random(self._sequence),
         )
--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -166,3 +166,101 @@
         assert max(staleness(fleet)) < store_view.STALE_SECONDS
 
     run_fleet(main)
+
+
+def run_fleet_of_data_centres(main, daemons_each=8, names='abcd'):
+    """Run a fleet whose daemons are named after their data centres."""
+
+    async def run():
+        fleet = system.System()
+        for name in names:
+            for number in range(daemons_each):
+                await fleet.start(
+                    f'{name}{number}',
+                    seeds=('a0:1', 'b0:1', 'c0:1'),
+                    data_centre=name,
+                )
+        await asyncio.sleep(8.0)
+        await main(fleet)
+
+    clock.run_virtual(run())
+
+
+def root_relays(fleet):
+    return rendezvous.rank('store', fleet.apps_by_vm)[: relays.ROOT_RELAYS]
+
+
+async def worst_staleness(fleet, seconds):
+    worst = 0.0
+    for _ in range(round(seconds / 0.05)):
+        await asyncio.sleep(0.05)
+        worst = max(worst, *staleness(fleet))
+    return worst
+
+
+def test_only_root_relays_call_the_store_whatever_the_data_centres():
+    async def main(fleet):
+        before = fleet.store.call_count
+        calls_before = {
+            vm: fleet.store_view(vm).store_calls for vm in fleet.apps_by_vm
+        }
+        assert await worst_staleness(fleet, 15.0) < store_view.STALE_SECONDS
+        callers = {
+            vm
+            for vm, calls in calls_before.items()
+            if fleet.store_view(vm).store_calls > calls
+        }
+        assert callers == set(root_relays(fleet))
+        assert fleet.store.call_count - before <= 2 * 11
+
+    run_fleet_of_data_centres(main)
+
+
+def test_change_reaches_all_data_centres_within_200_ms():
+    async def main(fleet):
+        fleet.store.publish(system.configuration(7))
+        await asyncio.sleep(0.2)
+        for vm in fleet.apps_by_vm:
+            assert fleet.store_view(vm).configuration.version == 7
+
+    run_fleet_of_data_centres(main)
+
+
+def test_keys_stay_verified_after_all_root_relays_die():
+    async def main(fleet):
+        for vm in root_relays(fleet):
+            await fleet.kill(vm)
+        assert await worst_staleness(fleet, 12.0) < 4.7
+
+    run_fleet_of_data_centres(main)
+
+
+def test_keys_stay_verified_after_the_relays_of_a_data_centre_die():
+    async def main(fleet):
+        local = [vm for vm in fleet.apps_by_vm if vm.startswith('b')]
+        ranked = rendezvous.rank('store', local)
+        for vm in ranked[: relays.RELAYS_PER_DATA_CENTRE]:
+            await fleet.kill(vm)
+        assert await worst_staleness(fleet, 12.0) < 4.7
+
+    run_fleet_of_data_centres(main)
+
+
+def test_keys_stay_verified_if_the_store_refuses_all_root_relays():
+    async def main(fleet):
+        fleet.store.refused_vms.update(root_relays(fleet))
+        assert await worst_staleness(fleet, 12.0) < 4.7
+
+    run_fleet_of_data_centres(main)
+
+
+def test_keys_stay_verified_in_a_data_centre_that_is_cut_off():
+    async def main(fleet):
+        cut = [vm for vm in fleet.apps_by_vm if vm.startswith('c')]
+        others = [vm for vm in fleet.apps_by_vm if not vm.startswith('c')]
+        fleet.network.partition(cut, others)
+        assert await worst_staleness(fleet, 12.0) < 4.7
+        fleet.network.heal()
+        assert await worst_staleness(fleet, 6.0) < 4.7
+
+    run_fleet_of_data_centres(main)
