Test a mass restart while the store turns a third away; word limits

In virtual time 60 daemons killed at once, a third of them refused by the store, have a state again within two seconds.

--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -41,7 +41,8 @@
 MAINTENANCE_SECONDS = 0.25  # between checks for due removals and silence
 STORE_SILENT_SECONDS = 0.5  # beyond a long poll; then peers are asked
 PEER_TIMEOUT_SECONDS = 0.4  # beyond the time that a peer may hold the reply
-MIN_HOLD = 0.25  # seconds, so that a stale state does not cause many polls
+# Of a relay's reply, so that a stale state does not cause many polls.
+MIN_HOLD_SECONDS = 0.25
 BATCH_SECONDS = 0.05  # changes within it go out in one reply
 STALE_SECONDS = 3.0  # a long poll, both holds of `relays`, and delays
 # Between calls to the store while the relays' state is stale, as many daemons
@@ -53,8 +54,8 @@
 # For which a peer may have a newer configuration before it is asked for it.
 # Relays bring it within that time.
 BEHIND_SECONDS = 0.5
-
-
+# After the time in which a new era verifies nothing, for relays to verify it.
+ERA_MARGIN_SECONDS = 1.0
 # At the first start of a fleet, until a daemon has heard of the others.
 GATHER_SECONDS = 1.0
 # At the first start of a fleet, for a relay to read the store.
@@ -268,8 +269,8 @@
         while True:
             source = self._relays.choose()
             if source.role is relays.Role.READER or not self.position.revision:
-                # A daemon that has just become a reader verifies its state
-                # at once.
+                # A reader whose state is late, as it has just become one,
+                # verifies it at once and not at the end of a long poll.
                 is_late = (
                     self.staleness() > WATCH_SECONDS + STORE_TIMEOUT_SECONDS
                 )
@@ -295,7 +296,7 @@
         return (
             self.staleness() > STALE_SECONDS
             and self._verification.era_age(now)
-            > verification.REWRITE_SECONDS + STORE_TIMEOUT_SECONDS
+            > verification.REWRITE_SECONDS + ERA_MARGIN_SECONDS
         )
 
     async def _read_store(self, wait: float) -> None:
@@ -447,7 +448,8 @@
         relay = source.vm
         # A daemon that lost its relay has little time to ask the next one.
         hold = min(
-            source.hold, max(STALE_SECONDS - self.staleness(), MIN_HOLD)
+            source.hold,
+            max(STALE_SECONDS - self.staleness(), MIN_HOLD_SECONDS),
         )
         request = self._state_request(
             hold, can_read_store=not self._is_store_lost
--- a/tests/router/test_start.py
+++ b/tests/router/test_start.py
@@ -104,3 +104,17 @@
         await seconds_until_all_have_state(fleet, 0.5)
 
     run(main)
+
+
+def test_daemons_that_the_store_turns_away_after_a_mass_kill_get_a_state():
+    async def main(fleet):
+        await start_all(fleet, 60, RESTART)
+        await asyncio.sleep(5.0)
+        vms = list(fleet.apps_by_vm)
+        for vm in vms:
+            await fleet.kill(vm)
+        fleet.store.refused_vms.update(vms[::3])
+        await start_all(fleet, 60, RESTART)
+        await seconds_until_all_have_state(fleet, 2.0)
+
+    run(main)
