Ask a peer with a newer state only while it is still newer

Cause: a daemon noted a peer whose heartbeat showed a newer version, and asked it half a second later although a relay had brought the version meanwhile: one message pair a daemon for each change of the configuration, found by reading.

--- a/corianderspar/router/membership.py
+++ b/corianderspar/router/membership.py
@@ -32,9 +32,8 @@
 # 2.4 s; the rest is margin for slow VMs.
 LARGE_FLEET_SILENT_SECONDS = 4.0
 AGES_PER_HEARTBEAT = 128  # 6 bytes each
-# In a fleet of more members than a heartbeat has ages, a sign of life spreads
-# more slowly by the ratio: 3.6 s among 195, 5.6 s among 300 members at 10 %
-# message loss.
+# Multiplied by the number of members per age of a heartbeat: where it exceeds
+# 1, a sign of life spreads more slowly by that ratio.
 SILENT_SECONDS_PER_RATIO = 2.8
 GOSSIP_CACHE_SECONDS = 0.1  # heartbeats within it report the same ages
 AGE_UNIT_SECONDS = 0.1  # ages are sent as whole multiples of it
@@ -229,7 +228,7 @@
         ]
 
     def _large_fleet_silent_seconds(self) -> float:
-        """Return after how many seconds without a sign of life one is dead."""
+        """Return the time without a sign of life that makes one silent."""
         ratio = self.size() / AGES_PER_HEARTBEAT
         return max(
             LARGE_FLEET_SILENT_SECONDS, SILENT_SECONDS_PER_RATIO * ratio
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -92,6 +92,24 @@
     era: int
 
 
+class _NewerPeer(NamedTuple):
+    """A peer whose state was newer than this daemon's.
+
+    Attributes
+    ----------
+    vm : str
+        The peer.
+    state : _PeerState
+        What it told.
+    ask_at : float
+        Monotonic seconds at which it is asked unless relays were faster.
+    """
+
+    vm: str
+    state: _PeerState
+    ask_at: float
+
+
 class StoreView:
     """The service ``beliefs``: follows the store.
 
@@ -134,8 +152,7 @@
         self._has_snapshot = False
         self._changed = asyncio.Event()
         self._fallback_at = float('-inf')
-        # A peer with a newer state, and since when that is known.
-        self._ahead: tuple[str, float] | None = None
+        self._newer_peer: _NewerPeer | None = None
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to follow the store."""
@@ -563,12 +580,11 @@
             if self._registrations.apply_due(now, self.position.era):
                 self._notify_upstreams_changed()
             silence = now - self._answered_at
-            if self._ahead is not None and now - self._ahead[1] >= (
-                BEHIND_SECONDS
-            ):
-                vm, _since = self._ahead
-                self._ahead = None
-                await self._ask_peer(vm)
+            newer = self._newer_peer
+            if newer is not None and now >= newer.ask_at:
+                self._newer_peer = None
+                if self._is_behind(newer.state):
+                    await self._ask_peer(newer.vm)
             elif self._is_store_lost or (
                 silence >= WATCH_SECONDS + STORE_SILENT_SECONDS
             ):
@@ -603,14 +619,22 @@
         except msgspec.MsgspecError as error:
             self._log('peer.unreadable', peer=sender.vm, why=error)
             return
+        if not self._is_behind(state):
+            return
         now = self._app.clock.monotonic()
-        if state.era > self._verification.era and self.position.revision:
-            self._ahead = sender.vm, now - BEHIND_SECONDS
-        elif state.version > self._adopted.version:
-            if self._ahead is None:
-                self._ahead = sender.vm, now
-        elif self._ahead is not None and self._ahead[0] == sender.vm:
-            self._ahead = None
+        if state.era > self._verification.era:
+            self._newer_peer = _NewerPeer(sender.vm, state, now)
+        elif self._newer_peer is None:
+            self._newer_peer = _NewerPeer(
+                sender.vm, state, now + BEHIND_SECONDS
+            )
+
+    def _is_behind(self, state: _PeerState) -> bool:
+        """Return whether a peer knows a newer configuration or a later era."""
+        is_era_later = (
+            state.era > self._verification.era and self.position.revision > 0
+        )
+        return is_era_later or state.version > self._adopted.version
 
     async def _on_state_request(
         self, _sender: peers.Sender, request: state_messages.StateRequest
