--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -18,7 +18,7 @@
 from corianderspar.router import store
 from corianderspar.router import upstreams
 
-# Of an answer that an engine begins, before a poison part crashes it.
+# Of an answer that an upstream begins, before the request crashes it.
 POISON_SECONDS = 0.07
 ENGINE_DOWN_SECONDS = 3.0  # from a crash until the engine is back
 
@@ -268,6 +268,9 @@
     poison_parts : set of str
         Parts of prompts; an engine that begins an answer to a prompt with
         one of them crashes.
+    poison_targets : set of str
+        Targets of requests; an upstream that begins an answer to one of
+        them crashes.
     crash_times : list of float
         When upstreams crashed, seconds of the event loop.
     down_seconds : float
@@ -283,6 +286,7 @@
 
     def __init__(self, fake_store: FakeStore | None = None) -> None:
         self.poison_parts: set[str] = set()
+        self.poison_targets: set[str] = set()
         self.crash_times: list[float] = []
         self.down_seconds = ENGINE_DOWN_SECONDS
         self._store = fake_store
@@ -320,8 +324,11 @@
         return upstream.instance in self._ended_instances
 
     def is_poison(self, request: model.CallerRequest) -> bool:
-        """Return whether a request crashes the engine that answers it."""
-        return not self.poison_parts.isdisjoint(request.prompt_parts)
+        """Return whether a request crashes the upstream that answers it."""
+        return (
+            request.target in self.poison_targets
+            or not self.poison_parts.isdisjoint(request.prompt_parts)
+        )
 
     def reset(self, upstream: model.Upstream) -> None:
         """Break all connections to an upstream, which goes on running."""
@@ -496,15 +503,15 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield events if the request has token counts, else a text."""
-        if self._request.token_counts is None or self.status != 200:
-            yield f'{self._request.request_id} {self._request.target}'.encode()
-            return
         if self._upstreams.is_poison(self._request):
             await self._wait(POISON_SECONDS)
             self._upstreams.crash(self._upstream)
             if self.is_framed:
                 raise connections.UpstreamError('reset', sent=True)
             return
+        if self._request.token_counts is None or self.status != 200:
+            yield f'{self._request.request_id} {self._request.target}'.encode()
+            return
         for number in range(self._last_event + 1, self._behaviour.events + 1):
             await self._wait(self._behaviour.event_interval)
             yield f'id: {number}\ndata: {self._request.target}\n\n'.encode()
