Log the fingerprint of a plain request that an upstream broke off

From the logs of the reported crashes nobody can tell whether the request that ends upstreams is the same each time: requests to plain services had no fingerprint, and a broken connection left no line but the send's. Each now gets one line with the fingerprint, the upstream, and whether it still sent. No decision changes.

--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -243,6 +243,14 @@
         if fault is upstreams.Fault.NOT_SENT:
             context.reached_count -= 1
             self._selector.mark_unreachable(send.upstream, now)
+        if fault is upstreams.Fault.BROKEN:
+            self._app.events.add(
+                'request.broke_off',
+                request=context.request.request_id,
+                mark=context.fingerprint,
+                upstream=send.upstream.instance,
+                alive=result.error.is_alive,
+            )
         self._telemetry.count_send('plain', fault is None)
         self._log_send(
             context,
--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -81,9 +81,6 @@
             Without ``retry_after``, since a resend would crash the next
             upstream.
         """
-        context.fingerprint = poison.request_fingerprint(
-            context.request, context.account
-        )
         count = self._crash_counts.count(
             context.fingerprint, self._app.clock.monotonic()
         )
--- a/corianderspar/router/request_context.py
+++ b/corianderspar/router/request_context.py
@@ -1,11 +1,13 @@
 """The state of one caller's request while this daemon handles it."""
 
 import asyncio
+import functools
 from typing import NamedTuple
 
 from corianderspar import http_io
 from corianderspar import problems
 from corianderspar.router import model
+from corianderspar.router import poison
 
 DEFAULT_RETRY_SECONDS = 0.4  # ``retry_after`` where no better value is known
 RETRY_SPENT_SECONDS = 0.3  # time spent elsewhere that marks a retrying caller
@@ -109,8 +111,6 @@
     stage, upstream : str
         What it is doing, and the instance that it was last sent to; for logs
         and error messages.
-    fingerprint : str
-        Equal for each send of the same request; set for engine requests.
     engine_run : EngineRun or None
         The send to a decode engine whose answer is passed on.
     crash_check : Task or None
@@ -139,7 +139,6 @@
         self.is_stopped = False
         self.stage = 'admitted'
         self.upstream = ''
-        self.fingerprint = ''
         self.engine_run: EngineRun | None = None
         self.crash_check: asyncio.Task[None] | None = None
         self.probed_part = ''
@@ -150,6 +149,11 @@
         account = self.matched.account
         return account.name if account else ''
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Equal for each send of the same request."""
+        return poison.request_fingerprint(self.request, self.account)
+
     @property
     def is_retry(self) -> bool:
         """Whether the caller was refused before.
