Count crashes by whole requests as those by parts of prompts

A request without parts that crashes engines was sent again after the daemons that had seen its crashes had restarted (4 and 6 sends later than 3 s after the third crash, 3 allowed), and a popular stream that was at five crashes by chance was refused, as its successes cleared it only at the daemon that saw them.

Cause: whole requests had counters of their own, which each daemon told in its heartbeats and peers dropped with the incarnation; any broken connection counted as a crash; nothing explained a crash for the requests beside the culprit.

A whole request is now one more suspect of a crash beside the parts of its prompt: a crash needs an engine that is really gone, is named by its process, spreads as a set that only grows, and is cleared by a success anywhere, at once or by a probe. A request and its own part are no rivals: only suspects of one kind are tied. A wait for the check of a crash and the probes hold for both.

--- a/corianderspar/router/prompt_poison.py
+++ b/corianderspar/router/prompt_poison.py
@@ -1,8 +1,10 @@
-"""Crashes of engines by parts of prompts, to find poison parts.
+"""Crashes of upstreams by requests and parts of prompts, to find poison.
+
+A request may crash each upstream that begins to run it, and so may a part
+that requests share in their prompts. A daemon notes the requests whose answers
+had not begun, or had just begun, when an upstream crashed, and their parts.
+A request as a whole is treated as one more part of its prompt.
 
-Requests share parts of their prompts, and one part may crash each engine that
-begins an answer to a prompt with it. A daemon notes which parts the requests
-had whose answers had not begun, or had just begun, when an engine crashed.
 Daemons exchange these notes as sets that only grow, so that they agree in
 whatever order and how often they hear them:
 
@@ -29,6 +31,8 @@
 
 import xxhash
 
+from corianderspar.router import poison
+
 CONVICTION_CRASHES = 2
 PROVEN_CONVICTION_TIMES = 4
 SAME_TIME_SECONDS = 2.0  # crashes closer together may have one cause
@@ -90,7 +94,8 @@
     is_proven : bool
         Whether it succeeded before.
     is_tied : bool
-        Whether other parts are as likely to have caused the crashes.
+        Whether others of its kind, parts or whole requests, are as likely to
+        have caused the crashes.
     failed_probes : int
         Probes that crashed an engine.
     """
@@ -474,8 +479,14 @@
                 culprits = [p for p, n in weights.items() if n == most]
                 explained: set[str] = set()
                 for part in culprits:
+                    is_whole = poison.is_whole_request(part)
+                    alike = [
+                        each
+                        for each in culprits
+                        if poison.is_whole_request(each) == is_whole
+                    ]
                     convictions[part] = self._conviction(
-                        unexplained[part], is_proven, len(culprits) > 1
+                        unexplained[part], is_proven, len(alike) > 1
                     )
                     explained |= unexplained[part]
                 for processes in processes_by_part.values():
--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -33,8 +33,9 @@
 class Quarantine:
     """The service ``quarantine``.
 
-    It shares its crash counts with peers in the heartbeat section
-    ``poison``, and the crashes by parts of prompts in the section ``parts``.
+    Suspects of a crash are the requests that their upstream had just begun
+    to answer, and the parts of their prompts. Crashes are shared with peers
+    in the heartbeat section ``parts``.
 
     Parameters
     ----------
@@ -47,7 +48,6 @@
 
     def __init__(self, calls: upstreams.UpstreamCalls) -> None:
         self._calls = calls
-        self._crash_counts = poison.CrashCounts()
         self._part_crashes = prompt_poison.PartCrashes()
         self._digests_by_incarnation: dict[str, int] = {}
         self._logged_parts: frozenset[str] = frozenset()
@@ -58,9 +58,6 @@
         self._app = app
         self._store_view = app.find('beliefs', store_view.StoreView)
         self._membership = app.find('fleet', membership.Membership)
-        self._membership.add_section(
-            'poison', self._provide_counts, self._accept_counts
-        )
         self._membership.add_section(
             'parts', self._provide_parts, self._accept_parts
         )
@@ -72,8 +69,8 @@
     def check(self, context: request_context.RequestContext) -> None:
         """Refuse a request that was at too many crashes, or has such a part.
 
-        Once in a while a request with such a part is let through, to find
-        out whether the part is to blame.
+        Once in a while such a request is let through, to find out whether
+        the request or the part is to blame.
 
         Raises
         ------
@@ -81,20 +78,19 @@
             Without ``retry_after``, since a resend would crash the next
             upstream.
         """
-        count = self._crash_counts.count(
-            context.fingerprint, self._app.clock.monotonic()
+        convicted = self._convicted(context)
+        part_count = sum(
+            not poison.is_whole_request(suspect) for suspect in convicted
         )
-        if count >= poison.QUARANTINE_CRASHES:
-            raise _refusal(context, f'present at {count} crashes')
-        convicted = self._convicted_parts(context)
-        if len(convicted) == 1 and self._may_probe(convicted[0]):
-            self._begin_probe(context, convicted[0])
+        # With two parts, a crash would not tell which of them is to blame.
+        if part_count <= 1 and all(map(self._may_probe, convicted)):
+            self._begin_probe(context, convicted)
         self._refuse_convicted(context)
 
     async def check_again(
         self, context: request_context.RequestContext
     ) -> None:
-        """Check the parts of a request just before it is sent.
+        """Check a request again just before it is sent.
 
         Before a repeat, it is known by then whether the engine before it
         crashed.
@@ -117,26 +113,21 @@
         """Note that the connection broke on which a request was running.
 
         A request whose answer had begun well before is none that crashes
-        engines. For one with parts, it is found out whether the engine
-        crashed; another one may have crashed it as well.
+        engines. For others, it is found out whether the engine crashed;
+        another request may have crashed it as well.
         """
         if run.has_survived:
             return
         now = self._app.clock.monotonic()
-        if context.request.prompt_parts:
-            context.crash_check = self._app.spawn(
-                self.name,
-                'crash check',
-                self._check_crash(
-                    context, run, now, bool(context.probed_part)
-                ),
-            )
-            context.probed_part = ''
-        else:
-            self._count_crash(context, run)
+        context.crash_check = self._app.spawn(
+            self.name,
+            'crash check',
+            self._check_crash(context, run, now, bool(context.probed)),
+        )
+        context.probed = ()
 
     def record_progress(self, context: request_context.RequestContext) -> None:
-        """Clear the parts of a request whose answer goes on.
+        """Clear a request whose answer goes on, and its parts.
 
         Called with each piece of the answer.
         """
@@ -148,7 +139,7 @@
             run.first_event_at = now
         elif now - run.first_event_at >= JUST_BEGUN_SECONDS:
             run.has_survived = True
-            self._clear_parts(context)
+            self._clear(context)
 
     def may_be_broken_off(
         self, context: request_context.RequestContext, answer: upstreams.Answer
@@ -166,13 +157,12 @@
 
     def record_success(self, context: request_context.RequestContext) -> None:
         """Clear a request that its upstream survived, and its parts."""
-        self._crash_counts.record_success(context.fingerprint)
         run = context.engine_run
         if run is None or run.first_event_at is None:
             return
         if run.is_framed or run.has_survived:
-            self._clear_parts(context)
-        elif self._part_crashes.has_suspect(context.request.prompt_parts):
+            self._clear(context)
+        elif self._part_crashes.has_suspect(context.suspects):
             # It may have been broken off by a crash.
             self._app.spawn(
                 self.name, 'end check', self._check_end(context, run)
@@ -184,39 +174,17 @@
         run: request_context.EngineRun,
     ) -> None:
         if not await self._is_unreachable(run.upstream):
-            self._clear_parts(context)
+            self._clear(context)
 
-    def _clear_parts(self, context: request_context.RequestContext) -> None:
-        """Note that an engine survived the parts of a request."""
+    def _clear(self, context: request_context.RequestContext) -> None:
+        """Note that an engine survived a request."""
         lifted = self._part_crashes.record_success(
-            context.request.prompt_parts, self._app.clock.monotonic()
+            context.suspects, self._app.clock.monotonic()
         )
         if lifted:
             self._tell_peers()
             self._log_changes(f'answer to {context.request.request_id}')
 
-    def _count_crash(
-        self,
-        context: request_context.RequestContext,
-        run: request_context.EngineRun,
-    ) -> None:
-        """Count a crash that a request's upstream may have had.
-
-        The next heartbeat goes to all peers, also in a large fleet, so that
-        they refuse the request before it crashes more upstreams.
-        """
-        count = self._crash_counts.record_crash(
-            context.fingerprint, self._app.clock.monotonic()
-        )
-        self._membership.broadcast_next()
-        self._app.events.add(
-            'request.at_crash',
-            request=context.request.request_id,
-            mark=context.fingerprint,
-            count=count,
-            upstream=run.upstream.instance,
-        )
-
     async def _check_crash(
         self,
         context: request_context.RequestContext,
@@ -234,6 +202,7 @@
             begun=run.first_event_at is not None,
             crashed=is_crash,
             probe=is_probe,
+            mark=context.fingerprint,
             parts=_shorten(context.request.prompt_parts),
         )
         if is_crash:
@@ -254,15 +223,21 @@
         at: float,
         is_probe: bool,
     ) -> None:
-        self._count_crash(context, run)
         self._part_crashes.record_crash(
             f'{run.upstream.instance}@{run.upstream.started_ms}',
-            context.request.prompt_parts,
+            context.suspects,
             at,
             self._app.clock.monotonic(),
             is_probe,
         )
         self._tell_peers()
+        self._app.events.add(
+            'request.at_crash',
+            request=context.request.request_id,
+            mark=context.fingerprint,
+            count=self._part_crashes.suspect_count(context.suspects[-1]),
+            upstream=run.upstream.instance,
+        )
         self._log_changes(f'crash of {run.upstream.instance}')
 
     async def _is_unreachable(self, upstream: model.Upstream) -> bool:
@@ -312,57 +287,66 @@
             if each.port == upstream.port and each.host == upstream.host
         }
 
-    def _convicted_parts(
+    def _convicted(
         self, context: request_context.RequestContext
-    ) -> list[str]:
+    ) -> tuple[str, ...]:
+        """Return what a request is refused for, unless it tests that."""
         convictions = self._part_crashes.convictions()
         if not convictions:
-            return []
-        return [
-            part
-            for part in context.request.prompt_parts
-            if part in convictions and part != context.probed_part
-        ]
+            return ()
+        return tuple(
+            suspect
+            for suspect in context.suspects
+            if suspect in convictions and suspect not in context.probed
+        )
 
     def _refuse_convicted(
         self, context: request_context.RequestContext
     ) -> None:
-        convicted = self._convicted_parts(context)
+        convicted = self._convicted(context)
         if not convicted:
             return
-        part = convicted[0]
         now = self._app.clock.monotonic()
-        self._part_crashes.renew(part, now)
-        conviction = self._part_crashes.convictions()[part]
+        for suspect in convicted:
+            self._part_crashes.renew(suspect, now)
+        suspect = convicted[0]
+        conviction = self._part_crashes.convictions()[suspect]
+        name = f'part {_shorten((suspect,))} of the prompt'
+        if poison.is_whole_request(suspect):
+            name = f'request {context.fingerprint}'
         raise _refusal(
             context,
-            f'part {_shorten((part,))} of the prompt was present at '
-            f'{conviction.crash_count} crashes, the last '
-            f'{now - conviction.newest_at:.1f} s ago',
+            f'{name} was present at {conviction.crash_count} crashes, '
+            f'the last {now - conviction.newest_at:.1f} s ago',
         )
 
-    def _may_probe(self, part: str) -> bool:
+    def _may_probe(self, suspect: str) -> bool:
         """Return whether this daemon is the first whose probe is due."""
         now = self._app.clock.monotonic()
-        due_at = self._part_crashes.probe_due_at(part)
+        due_at = self._part_crashes.probe_due_at(suspect)
         if now < due_at:
             return False
-        ranked = rendezvous.rank(f'poison/{part}', self._membership.live())
+        ranked = rendezvous.rank(f'poison/{suspect}', self._membership.live())
         vm = self._app.identity.vm
         turn = ranked.index(vm) if vm in ranked else len(ranked)
         return now >= due_at + turn * PROBE_STAGGER_SECONDS
 
     def _begin_probe(
-        self, context: request_context.RequestContext, part: str
+        self,
+        context: request_context.RequestContext,
+        convicted: tuple[str, ...],
     ) -> None:
-        context.probed_part = part
-        self._part_crashes.record_probe(part, self._app.clock.monotonic())
+        if not convicted:
+            return
+        context.probed = convicted
+        for suspect in convicted:
+            self._part_crashes.record_probe(
+                suspect, self._app.clock.monotonic()
+            )
+            self._log_suspect(
+                suspect, 'probed', request=context.request.request_id
+            )
         self._tell_peers()
-        self._app.events.add(
-            'part.probed',
-            part=_shorten((part,)),
-            request=context.request.request_id,
-        )
 
     def _tell_peers(self) -> None:
         """Send a heartbeat to all peers, at once unless one was just sent."""
@@ -374,14 +358,14 @@
         self._membership.send_now()
 
     def _log_changes(self, cause: str) -> None:
-        """Log which parts were convicted or cleared since the last call."""
+        """Log who was convicted or cleared since the last call."""
         now = self._app.clock.monotonic()
         convictions = self._part_crashes.convictions()
         for part in sorted(convictions.keys() - self._logged_parts):
             conviction = convictions[part]
-            self._app.events.add(
-                'part.convicted',
-                part=_shorten((part,)),
+            self._log_suspect(
+                part,
+                'convicted',
                 crashes=conviction.crash_count,
                 newest_age=f'{now - conviction.newest_at:.2f}',
                 proven=conviction.is_proven,
@@ -389,26 +373,24 @@
                 cause=cause,
             )
         for part in sorted(self._logged_parts - convictions.keys()):
-            self._app.events.add(
-                'part.cleared',
-                part=_shorten((part,)),
+            self._log_suspect(
+                part,
+                'cleared',
                 crashes=self._part_crashes.suspect_count(part),
                 proven=self._part_crashes.has_success(part),
                 cause=cause,
             )
         self._logged_parts = frozenset(convictions)
 
-    def _provide_counts(self, _vm: str) -> bytes | None:
-        counts = self._crash_counts.local_counts(self._app.clock.monotonic())
-        return msgspec.msgpack.encode(counts)
-
-    def _accept_counts(self, sender: peers.Sender, content: bytes) -> None:
-        try:
-            counts = msgspec.msgpack.decode(content, type=dict[str, int])
-        except msgspec.MsgspecError as error:
-            self._app.events.add('peer.unreadable', peer=sender.vm, why=error)
-            return
-        self._crash_counts.set_peer_counts(sender.incarnation, counts)
+    def _log_suspect(
+        self, suspect: str, outcome: str, **fields: object
+    ) -> None:
+        if poison.is_whole_request(suspect):
+            mark = suspect.removeprefix(poison.SUSPECT_PREFIX)
+            self._app.events.add(f'request.{outcome}', mark=mark, **fields)
+        else:
+            part = _shorten((suspect,))
+            self._app.events.add(f'part.{outcome}', part=part, **fields)
 
     def _provide_parts(self, vm: str) -> bytes | None:
         """Return the crashes; only their digest if the peer knows them."""
@@ -437,7 +419,6 @@
             self._log_changes(f'peer {sender.vm}')
 
     def _forget_peer(self, incarnation: str) -> None:
-        self._crash_counts.forget_peer(incarnation)
         self._digests_by_incarnation.pop(incarnation, None)
 
 
--- a/corianderspar/router/request_context.py
+++ b/corianderspar/router/request_context.py
@@ -115,8 +115,8 @@
         The send to a decode engine whose answer is passed on.
     crash_check : Task or None
         Finds out whether the engine of the last send crashed.
-    probed_part : str
-        The part of the prompt that it tests; empty for none.
+    probed : tuple of str
+        The convicted suspects that it tests.
     """
 
     def __init__(
@@ -141,7 +141,7 @@
         self.upstream = ''
         self.engine_run: EngineRun | None = None
         self.crash_check: asyncio.Task[None] | None = None
-        self.probed_part = ''
+        self.probed: tuple[str, ...] = ()
 
     @property
     def account(self) -> str:
@@ -154,6 +154,17 @@
         """Equal for each send of the same request."""
         return poison.request_fingerprint(self.request, self.account)
 
+    @functools.cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """What may be to blame if its upstream crashes.
+
+        The parts of its prompt, and the request as a whole.
+        """
+        return (
+            *self.request.prompt_parts,
+            poison.SUSPECT_PREFIX + self.fingerprint,
+        )
+
     @property
     def is_retry(self) -> bool:
         """Whether the caller was refused before.
