Refuse requests that crash the upstreams of plain services

Cause: the quarantine was asked and told by the calls of engines only. Requests to plain services crashed one upstream after the other, twice an attempt where they may be retried, and nobody counted. The class of fault is a protection bound to one path of two.

Plain calls now ask the quarantine before the first send, and again before each further one, and tell it of broken connections and of answers. An error status clears nobody, since an upstream may fail a request before it runs it. A retry waits for the check of the crash before it only if the request was at an earlier one. 204 and 304 count as answers that state their end.

--- a/corianderspar/platform/upstream_calls.py
+++ b/corianderspar/platform/upstream_calls.py
@@ -20,6 +20,7 @@
 FRAMED_SIZE_FACTOR = 2
 HTTP_MISDIRECTED_REQUEST = 421  # another instance has the address
 HTTP_SERVICE_UNAVAILABLE = 503
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class _PrefillReply(msgspec.Struct):
@@ -37,7 +38,8 @@
         self.status = response.status
         self.is_genuine = response.header(protocol.RESPONSE_STAMP) is not None
         self.is_framed = (
-            response.header(b'content-length') is not None
+            response.status in STATUSES_WITHOUT_BODY
+            or response.header(b'content-length') is not None
             or response.header(b'transfer-encoding') is not None
         )
         self.headers: http_io.Headers = tuple(
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -62,7 +62,7 @@
     ----------
     prepared : _Prepared
         What it was sent with.
-    progress : EngineRun
+    progress : UpstreamRun
         What is known of its answer.
     began : float
         Monotonic seconds at which it was sent.
@@ -71,7 +71,7 @@
     """
 
     prepared: _Prepared
-    progress: request_context.EngineRun
+    progress: request_context.UpstreamRun
     began: float
     pending: asyncio.Task[Result[upstreams.Answer, upstreams.Failure]]
 
@@ -193,7 +193,10 @@
                     context, parser, result.replacement, excluded
                 )
             if result.is_complete:
-                self._quarantine.record_success(context)
+                if context.engine_run is not None:
+                    self._quarantine.record_success(
+                        context, context.engine_run
+                    )
                 return
             excluded = self._record_failure(context, result, excluded)
             if result.is_final:
@@ -490,7 +493,7 @@
         )
         return _Run(
             prepared,
-            request_context.EngineRun(prepared.engine),
+            request_context.UpstreamRun(prepared.engine),
             self._app.clock.monotonic(),
             asyncio.create_task(call),
         )
--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -9,6 +9,7 @@
 from corianderspar import kernel
 from corianderspar.router import connections
 from corianderspar.router import model
+from corianderspar.router import quarantine
 from corianderspar.router import request_context
 from corianderspar.router import retries
 from corianderspar.router import selection
@@ -28,6 +29,7 @@
     status: int
     headers: http_io.Headers
     body: bytes
+    is_framed: bool
 
 
 _SendResult = Result[_CompleteAnswer, upstreams.Failure]
@@ -40,8 +42,8 @@
     ----------
     number : int
         Counted from 1 for each request.
-    upstream : Upstream
-        Where it was sent.
+    run : UpstreamRun
+        Where it was sent, and what is known of its answer.
     began : float
         Monotonic seconds.
     task : Task
@@ -49,7 +51,7 @@
     """
 
     number: int
-    upstream: model.Upstream
+    run: request_context.UpstreamRun
     began: float
     task: asyncio.Task[_SendResult]
 
@@ -67,6 +69,7 @@
     requires: tuple[str, ...] = (
         'beliefs',
         'notices',
+        'quarantine',
         'retries',
         'telemetry',
     )
@@ -81,6 +84,7 @@
         self._retry_budgets = app.find('retries', retries.RetryBudgets)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._notices = app.find('notices', upstream_notices.UpstreamNotices)
+        self._quarantine = app.find('quarantine', quarantine.Quarantine)
         self._selector = selection.UpstreamSelector(app.identity.data_centre)
         self._store_view.on_upstreams_change.append(self._on_upstreams_changed)
 
@@ -99,6 +103,7 @@
         RequestError
             If there is no answer to pass on.
         """
+        self._quarantine.check(context)
         service = context.matched.service.name
         self._retry_budgets.deposit(service)
         excluded: list[str] = []
@@ -141,6 +146,7 @@
             for send in running:
                 self._abandon(context, send)
         if answer is None:
+            self._quarantine.refuse_convicted(context)
             pause = self._notices.pause_remaining(service)
             if pause is not None:
                 raise context.error('upstreams_paused', reason, pause)
@@ -163,7 +169,10 @@
         )
         if upstream is None:
             return None
-        if context.send_count and not self._may_retry(context):
+        if context.send_count and (
+            not self._may_retry(context)
+            or await self._quarantine.is_refused(context)
+        ):
             return None
         if context.reached_count and not await self._retry_budgets.withdraw(
             service, context.request.request_id
@@ -224,7 +233,10 @@
         self._selector.begin(upstream)
         call = self._call(context, upstream, context.remaining(began))
         return _Send(
-            context.send_count, upstream, began, asyncio.create_task(call)
+            context.send_count,
+            request_context.UpstreamRun(upstream),
+            began,
+            asyncio.create_task(call),
         )
 
     def _record_result(
@@ -236,20 +248,20 @@
         """Count the result of a send that has ended."""
         now = self._app.clock.monotonic()
         is_success = result.is_ok() and result.ok.status < 500
-        self._selector.end(send.upstream, now - send.began, is_success, now)
+        self._selector.end(
+            send.run.upstream, now - send.began, is_success, now
+        )
         fault = result.error.fault if result.is_error() else None
         if fault in (upstreams.Fault.NOT_SENT, upstreams.Fault.REFUSED):
             context.run_count -= 1
         if fault is upstreams.Fault.NOT_SENT:
             context.reached_count -= 1
-            self._selector.mark_unreachable(send.upstream, now)
-        if fault is upstreams.Fault.BROKEN:
-            self._app.events.add(
-                'request.broke_off',
-                request=context.request.request_id,
-                mark=context.fingerprint,
-                upstream=send.upstream.instance,
-                alive=result.error.is_alive,
+            self._selector.mark_unreachable(send.run.upstream, now)
+        if fault is upstreams.Fault.BROKEN and not result.error.is_alive:
+            self._quarantine.record_broken(context, send.run)
+        if is_success:
+            self._quarantine.record_answer(
+                context, send.run, result.ok.is_framed, not result.ok.body
             )
         self._telemetry.count_send('plain', fault is None)
         self._log_send(
@@ -265,7 +277,7 @@
         """End a send whose answer is not needed any more."""
         send.task.cancel()
         now = self._app.clock.monotonic()
-        self._selector.end(send.upstream, now - send.began, False, now)
+        self._selector.end(send.run.upstream, now - send.began, False, now)
         self._log_send(context, send, 'abandoned')
 
     async def _call(
@@ -298,7 +310,11 @@
             )
         finally:
             answer.close()
-        return Result.Ok(_CompleteAnswer(answer.status, answer.headers, body))
+        return Result.Ok(
+            _CompleteAnswer(
+                answer.status, answer.headers, body, answer.is_framed
+            )
+        )
 
     def _log_send(
         self,
@@ -311,7 +327,7 @@
         self._app.events.add(
             'request.sent',
             request=context.request.request_id,
-            upstream=send.upstream.instance,
+            upstream=send.run.upstream.instance,
             send=send.number,
             seconds=f'{now - send.began:.3f}',
             result=result,
--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -85,7 +85,7 @@
         # With two parts, a crash would not tell which of them is to blame.
         if part_count <= 1 and all(map(self._may_probe, convicted)):
             self._begin_probe(context, convicted)
-        self._refuse_convicted(context)
+        self.refuse_convicted(context)
 
     async def check_again(
         self, context: request_context.RequestContext
@@ -100,15 +100,51 @@
         RequestError
             As `check` does.
         """
-        if context.crash_check is not None:
-            await asyncio.wait((context.crash_check,))
-            context.crash_check = None
-        self._refuse_convicted(context)
+        if await self.is_refused(context):
+            self.refuse_convicted(context)
+
+    async def is_refused(
+        self, context: request_context.RequestContext
+    ) -> bool:
+        """Return whether a request may not be sent, as `check_again`."""
+        # The first crash convicts nobody.
+        if context.crash_checks and self._part_crashes.has_suspect(
+            context.suspects
+        ):
+            await asyncio.wait(context.crash_checks)
+        return bool(self._convicted(context))
+
+    def refuse_convicted(
+        self, context: request_context.RequestContext
+    ) -> None:
+        """Refuse a request that is convicted, or has such a part.
+
+        Raises
+        ------
+        RequestError
+            As `check` does.
+        """
+        convicted = self._convicted(context)
+        if not convicted:
+            return
+        now = self._app.clock.monotonic()
+        for suspect in convicted:
+            self._part_crashes.renew(suspect, now)
+        suspect = convicted[0]
+        conviction = self._part_crashes.convictions()[suspect]
+        name = f'part {_shorten((suspect,))} of the prompt'
+        if poison.is_whole_request(suspect):
+            name = f'request {context.fingerprint}'
+        raise _refusal(
+            context,
+            f'{name} was present at {conviction.crash_count} crashes, '
+            f'the last {now - conviction.newest_at:.1f} s ago',
+        )
 
     def record_broken(
         self,
         context: request_context.RequestContext,
-        run: request_context.EngineRun,
+        run: request_context.UpstreamRun,
     ) -> None:
         """Note that the connection broke on which a request was running.
 
@@ -119,11 +155,13 @@
         if run.has_survived:
             return
         now = self._app.clock.monotonic()
-        context.crash_check = self._app.spawn(
+        check = self._app.spawn(
             self.name,
             'crash check',
             self._check_crash(context, run, now, bool(context.probed)),
         )
+        context.crash_checks.add(check)
+        check.add_done_callback(context.crash_checks.discard)
         context.probed = ()
 
     def record_progress(self, context: request_context.RequestContext) -> None:
@@ -155,10 +193,32 @@
         run.is_framed = answer.is_framed
         return not run.is_framed and run.first_event_at is None
 
-    def record_success(self, context: request_context.RequestContext) -> None:
+    def record_answer(
+        self,
+        context: request_context.RequestContext,
+        run: request_context.UpstreamRun,
+        is_framed: bool,
+        is_empty: bool,
+    ) -> None:
+        """Clear a request that a plain upstream answered.
+
+        An empty answer that does not state its end may be one that a crash
+        broke off.
+        """
+        run.is_framed = is_framed
+        if is_empty and not is_framed:
+            self.record_broken(context, run)
+            return
+        run.first_event_at = self._app.clock.monotonic()
+        self.record_success(context, run)
+
+    def record_success(
+        self,
+        context: request_context.RequestContext,
+        run: request_context.UpstreamRun,
+    ) -> None:
         """Clear a request that its upstream survived, and its parts."""
-        run = context.engine_run
-        if run is None or run.first_event_at is None:
+        if run.first_event_at is None:
             return
         if run.is_framed or run.has_survived:
             self._clear(context)
@@ -171,7 +231,7 @@
     async def _check_end(
         self,
         context: request_context.RequestContext,
-        run: request_context.EngineRun,
+        run: request_context.UpstreamRun,
     ) -> None:
         if not await self._is_unreachable(run.upstream):
             self._clear(context)
@@ -188,7 +248,7 @@
     async def _check_crash(
         self,
         context: request_context.RequestContext,
-        run: request_context.EngineRun,
+        run: request_context.UpstreamRun,
         at: float,
         is_probe: bool,
     ) -> None:
@@ -219,7 +279,7 @@
     def _record_crash(
         self,
         context: request_context.RequestContext,
-        run: request_context.EngineRun,
+        run: request_context.UpstreamRun,
         at: float,
         is_probe: bool,
     ) -> None:
@@ -254,7 +314,7 @@
     async def _await_replacement(
         self,
         context: request_context.RequestContext,
-        run: request_context.EngineRun,
+        run: request_context.UpstreamRun,
         at: float,
         is_probe: bool,
         instances_before: set[str],
@@ -300,26 +360,6 @@
             if suspect in convictions and suspect not in context.probed
         )
 
-    def _refuse_convicted(
-        self, context: request_context.RequestContext
-    ) -> None:
-        convicted = self._convicted(context)
-        if not convicted:
-            return
-        now = self._app.clock.monotonic()
-        for suspect in convicted:
-            self._part_crashes.renew(suspect, now)
-        suspect = convicted[0]
-        conviction = self._part_crashes.convictions()[suspect]
-        name = f'part {_shorten((suspect,))} of the prompt'
-        if poison.is_whole_request(suspect):
-            name = f'request {context.fingerprint}'
-        raise _refusal(
-            context,
-            f'{name} was present at {conviction.crash_count} crashes, '
-            f'the last {now - conviction.newest_at:.1f} s ago',
-        )
-
     def _may_probe(self, suspect: str) -> bool:
         """Return whether this daemon is the first whose probe is due."""
         now = self._app.clock.monotonic()
--- a/corianderspar/router/request_context.py
+++ b/corianderspar/router/request_context.py
@@ -48,13 +48,13 @@
     account: model.Account | None
 
 
-class EngineRun:
-    """A send of a request to an engine that may have begun to answer it.
+class UpstreamRun:
+    """A send of a request to an upstream that may have begun to answer it.
 
     Parameters
     ----------
     upstream : Upstream
-        The engine, as registered when the request was sent.
+        The upstream, as registered when the request was sent.
 
     Attributes
     ----------
@@ -62,12 +62,13 @@
         Whether the answer states its end; else it ends with its connection,
         and one that broke may look complete.
     first_event_at : float or None
-        Monotonic seconds at which its first event was passed on.
+        Monotonic seconds at which its first event was passed on, or its whole
+        answer arrived.
     has_survived : bool
         Whether an event followed long enough after the first one to say that
         the request does not crash engines.
     is_suspected : bool
-        Whether its engine was reported as silent and sent nothing since.
+        Whether its upstream was reported as silent and sent nothing since.
     """
 
     def __init__(self, upstream: model.Upstream) -> None:
@@ -111,10 +112,10 @@
     stage, upstream : str
         What it is doing, and the instance that it was last sent to; for logs
         and error messages.
-    engine_run : EngineRun or None
+    engine_run : UpstreamRun or None
         The send to a decode engine whose answer is passed on.
-    crash_check : Task or None
-        Finds out whether the engine of the last send crashed.
+    crash_checks : set of Task
+        Find out whether upstreams of earlier sends crashed.
     probed : tuple of str
         The convicted suspects that it tests.
     """
@@ -139,8 +140,8 @@
         self.is_stopped = False
         self.stage = 'admitted'
         self.upstream = ''
-        self.engine_run: EngineRun | None = None
-        self.crash_check: asyncio.Task[None] | None = None
+        self.engine_run: UpstreamRun | None = None
+        self.crash_checks: set[asyncio.Task[None]] = set()
         self.probed: tuple[str, ...] = ()
 
     @property
