Read and log the limits that upstreams state in their answers

From the logs of the reported excess nobody can tell which upstream states a limit, of what, or which daemons know of it: the header had no name in the adapter. Each daemon now keeps the newest statement of each upstream and logs when it changes, and values that are no rate. Nothing acts on it.

Hooks get a notice of each answer, since one that states no limit ends a limit, but none of an answer of another process at the address.

--- a/corianderspar/platform/protocol.py
+++ b/corianderspar/platform/protocol.py
@@ -27,6 +27,9 @@
 LEAVING = b'server-leaving'
 # Seconds, possibly with a fraction.
 RETRY_AFTER = b'retry-after'
+# Requests per second that an upstream accepts from all daemons together, as a
+# decimal number.
+LIMIT = b'server-limit'
 
 # Headers that only this system may set. They are removed from requests of
 # callers.
--- a/corianderspar/platform/upstream_calls.py
+++ b/corianderspar/platform/upstream_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import re
 
 from expression import Error
 from expression import Ok
@@ -159,9 +160,13 @@
         self, upstream: model.Upstream, response: connections.Response
     ) -> None:
         notice = _read_notice(upstream, response)
-        if notice != _NO_NOTICE:
-            for hook in self.on_notice:
-                hook(upstream, notice)
+        if (
+            response.status == HTTP_MISDIRECTED_REQUEST
+            and notice == upstreams.Notice()
+        ):
+            return  # not its answer
+        for hook in self.on_notice:
+            hook(upstream, notice)
 
     async def _send(
         self,
@@ -209,7 +214,7 @@
         return await _refusal(response, is_misdirected)
 
 
-_NO_NOTICE = upstreams.Notice()
+_RATE = re.compile(rb'\d{1,9}(\.\d{0,9})?|\.\d{1,9}')
 
 
 def _read_notice(
@@ -225,6 +230,13 @@
             pause = float(stated)
         except ValueError:
             unreadable_pause = stated.decode('latin-1')
+    stated_limit = response.header(protocol.LIMIT)
+    limit: float | None = None
+    unreadable_limit = ''
+    if stated_limit is not None and _RATE.fullmatch(stated_limit):
+        limit = float(stated_limit)
+    elif stated_limit is not None:
+        unreadable_limit = repr(stated_limit)
     return upstreams.Notice(
         response.header(protocol.LEAVING) == b'1',
         response.status == HTTP_MISDIRECTED_REQUEST
@@ -232,6 +244,8 @@
         and instance != upstream.instance.encode(),
         pause,
         unreadable_pause,
+        limit,
+        unreadable_limit,
     )
 
 
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -18,6 +18,7 @@
 from corianderspar.router import telemetry
 from corianderspar.router import token_buckets
 from corianderspar.router import upstream_notices
+from corianderspar.router import upstream_permits
 from corianderspar.router import upstreams
 
 
@@ -89,6 +90,7 @@
         store_view.StoreView(adapters.store, bounds.start_policy),
         placement.Placement(),
         upstream_notices.UpstreamNotices(adapters.calls),
+        upstream_permits.UpstreamPermits(adapters.calls),
         retries.RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         ),
--- a/corianderspar/router/upstreams.py
+++ b/corianderspar/router/upstreams.py
@@ -98,12 +98,19 @@
         further ones from this daemon; None if it does not ask for that.
     unreadable_pause : str
         Value of a pause that is no time; empty if there is none.
+    limit : float or None
+        Requests per second that the upstream accepts from all daemons
+        together; None if it states no limit.
+    unreadable_limit : str
+        Value of a limit that is no rate; empty if there is none.
     """
 
     is_leaving: bool = False
     is_replaced: bool = False
     pause: float | None = None
     unreadable_pause: str = ''
+    limit: float | None = None
+    unreadable_limit: str = ''
 
 
 NoticeHook = Callable[[model.Upstream, Notice], None]
@@ -167,8 +174,8 @@
     Attributes
     ----------
     on_notice : list of callable
-        Hooks called with the upstream and the notice of each answer that
-        states anything about its upstream, when the head was read.
+        Hooks called with the upstream and the notice of each answer of its
+        own, when the head was read.
     """
 
     on_notice: list[NoticeHook]
