Reserve the ports of tests among all processes

No log of them is left, so the cause is suspected, not shown: free_port asked only whether a port was free at that moment, so another process, or the same play, could draw it before the daemon used it, or while it restarted.

A daemon that is not ready for another reason still fails these tests.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -87,20 +87,29 @@
 }
 
 
+# UDP sockets that reserve ports among all processes that run tests.
+_reservations = []
+
+
 def free_port():
-    """Return a port below those that connections take for their own end.
+    """Return a port that no other test gets while this process runs.
 
-    A connection could otherwise have taken it by the time that a daemon
-    starts, or starts again.
+    It is below those that connections take for their own end. One of them
+    could otherwise have taken it by the time that a daemon starts, or starts
+    again.
     """
     while True:
         port = random.randrange(*LISTEN_PORTS)
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with socket.socket() as probe:
             try:
+                reservation.bind(('127.0.0.1', port))
                 probe.bind(('127.0.0.1', port))
             except OSError:
+                reservation.close()
                 continue
-            return port
+        _reservations.append(reservation)
+        return port
 
 
 class FakeStoreServer:
