Keep upstreams of plain services within the limits that they state

Cause: nothing acted on the limits in answers. The class of fault: what an upstream says of itself was followed for some headers only. A limit kept by each daemon alone would not do either, as it is one for all of them.

For each limited upstream one daemon, by rendezvous hashing, now counts for all and grants permits (0.9 of the limit; less on one side of a partition, its part alone if it hears nobody). The question carries the limit, so the home need not have heard of it. Who gets no permit, or reaches no home, goes elsewhere, or is refused at once with the time until the next one. Others go first while they are sound; so that its end is noticed, a limited upstream gets half its limit all the same. Limits spread with heartbeats as newest statements, and end with an answer that states none, or with the process. Of a limit under 0.25/s a request each 4 s is sent.

--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -16,11 +16,15 @@
 from corianderspar.router import store_view
 from corianderspar.router import telemetry
 from corianderspar.router import upstream_notices
+from corianderspar.router import upstream_permits
 from corianderspar.router import upstreams
 
 MAX_SENDS = 3  # of one request, including those that upstreams refuse
 SILENCE_SECONDS = 0.7  # then an idempotent request is also sent elsewhere
 MIN_RETRY_SECONDS = 0.1  # no retry with less than this left
+# Of the wait for a permit, by which callers are told to return at different
+# times.
+RETURN_SPREAD = 0.5
 
 
 class _CompleteAnswer(NamedTuple):
@@ -69,6 +73,7 @@
     requires: tuple[str, ...] = (
         'beliefs',
         'notices',
+        'permits',
         'quarantine',
         'retries',
         'telemetry',
@@ -84,6 +89,7 @@
         self._retry_budgets = app.find('retries', retries.RetryBudgets)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._notices = app.find('notices', upstream_notices.UpstreamNotices)
+        self._permits = app.find('permits', upstream_permits.UpstreamPermits)
         self._quarantine = app.find('quarantine', quarantine.Quarantine)
         self._selector = selection.UpstreamSelector(app.identity.data_centre)
         self._store_view.on_upstreams_change.append(self._on_upstreams_changed)
@@ -150,6 +156,9 @@
             pause = self._notices.pause_remaining(service)
             if pause is not None:
                 raise context.error('upstreams_paused', reason, pause)
+            wait = self._permit_wait(service)
+            if wait > 0.0:
+                raise context.error('upstreams_limited', reason, wait)
             raise context.error('upstream_failed', reason)
         await context.exchange.answer(
             answer.status, answer.headers, answer.body
@@ -162,24 +171,73 @@
         service = context.matched.service.name
         if context.send_count >= MAX_SENDS:
             return None
-        upstream = self._selector.choose(
-            self._notices.usable(self._store_view.ready_upstreams(service)),
-            excluded,
-            self._app.clock.monotonic(),
-        )
-        if upstream is None:
-            return None
         if context.send_count and (
             not self._may_retry(context)
             or await self._quarantine.is_refused(context)
         ):
             return None
+        upstream = await self._choose(context, excluded)
+        if upstream is None:
+            return None
         if context.reached_count and not await self._retry_budgets.withdraw(
             service, context.request.request_id
         ):
             return None
         return upstream
 
+    async def _choose(
+        self, context: request_context.RequestContext, excluded: list[str]
+    ) -> model.Upstream | None:
+        """Return the best upstream that may get a request."""
+        skipped = list(excluded)
+        while True:
+            # Some may have left while a permit was asked for.
+            candidates = [
+                upstream
+                for upstream in self._notices.usable(
+                    self._store_view.ready_upstreams(
+                        context.matched.service.name
+                    )
+                )
+                if upstream.instance not in skipped
+                and self._permits.wait(upstream) == 0.0
+            ]
+            now = self._app.clock.monotonic()
+            limited = {
+                upstream.instance
+                for upstream in candidates
+                if self._permits.is_limited(upstream)
+            }
+            on_trial = [u for u in candidates if self._permits.is_trial_due(u)]
+            upstream = self._selector.choose(
+                on_trial or candidates, (), now, limited
+            )
+            if upstream is None or await self._permits.acquire(upstream):
+                return upstream
+            skipped.append(upstream.instance)
+            self._app.events.add(
+                'request.no_permit',
+                request=context.request.request_id,
+                upstream=upstream.instance,
+                wait=f'{self._permits.wait(upstream):.2f}',
+            )
+
+    def _permit_wait(self, service: str) -> float:
+        """Return seconds until an upstream of a service may have a permit.
+
+        Returns
+        -------
+        float
+            0 unless all upstreams of the service are limited.
+        """
+        waits = [
+            self._permits.wait(upstream)
+            for upstream in self._store_view.ready_upstreams(service)
+        ]
+        if not waits or min(waits) == 0.0:
+            return 0.0
+        return min(waits) * self._app.rng.uniform(1.0, 1.0 + RETURN_SPREAD)
+
     async def _wait_for_any(
         self,
         context: request_context.RequestContext,
--- a/corianderspar/router/selection.py
+++ b/corianderspar/router/selection.py
@@ -8,6 +8,7 @@
 penalty for failures decays.
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
 import math
 from typing import NamedTuple
@@ -19,6 +20,8 @@
 FAILURE_SECONDS = 1.0  # cost of a failed answer: a retry and its wait
 DECAY_SECONDS = 6.0  # time constant of the failure rate: down to 1/e
 REMOTE_SECONDS = 0.004  # cost of another data centre
+# Cost of an upstream that states a limit, so that sound others go first.
+LIMITED_SECONDS = 0.5
 SUSPECT_SECONDS = 1.5  # for which an unreachable upstream is a last choice
 
 
@@ -67,6 +70,7 @@
         upstreams: Iterable[model.Upstream],
         excluded: Iterable[str],
         now: float,
+        limited: Container[str] = (),
     ) -> model.Upstream | None:
         """Return the upstream of the lowest cost, or None.
 
@@ -79,11 +83,16 @@
             Instances that are not chosen.
         now : float
             Monotonic seconds.
+        limited : container of str
+            Instances that state a limit.
         """
         excluded_instances = set(excluded)
         return min(
             (u for u in upstreams if u.instance not in excluded_instances),
-            key=lambda u: (self._is_suspect(u, now), self._cost(u, now)),
+            key=lambda u: (
+                self._is_suspect(u, now),
+                self._cost(u, now) + LIMITED_SECONDS * (u.instance in limited),
+            ),
             default=None,
         )
 
--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -1,14 +1,113 @@
-"""Service that keeps upstreams within the limits that they state."""
+"""Service that keeps upstreams within the limits that they state.
+
+An upstream states how many requests per second it accepts from all daemons
+together. For each limited upstream one daemon, its home, counts for all and
+grants permits. A daemon that reaches no home sends nothing there. During a
+network partition each side grants its part, so that even daemons that hear
+nobody stay within the limit together.
+"""
+
+import math
+from typing import NamedTuple
+
+import msgspec
 
 from corianderspar import kernel
+from corianderspar import peers
+from corianderspar import rendezvous
+from corianderspar.router import homes
+from corianderspar.router import membership
 from corianderspar.router import model
 from corianderspar.router import stated_limits
 from corianderspar.router import store_view
 from corianderspar.router import upstreams
 
+ASK_TIMEOUT_SECONDS = 0.12  # 40 times the network delay
+# Of a limit; the rest is for two homes at once, while daemons disagree about
+# who is alive.
+USABLE_SHARE = 0.9
+# Of what is usable, on one side of a network partition.
+MIN_SIDE_SHARE = 0.6
+# Requests/s where an upstream accepts fewer. Only an answer can state that the
+# limit has ended.
+MIN_RATE = 0.25
+BURST_SECONDS = 0.5  # of unused permits that are kept, but at least one permit
+MAX_WAIT_SECONDS = 5.0  # for a permit, as told to those who get none
+# While other upstreams are free, a limited one gets this part of its limit.
+TRIAL_SHARE = 0.5
+MAX_TRIAL_SECONDS = 4.0  # from one such request of a daemon to the next
+
+
+class PermitRequest(NamedTuple):
+    """Asks the home of a limited upstream for one request.
+
+    Attributes
+    ----------
+    instance : str
+        The upstream.
+    statement : StatementMessage
+        The limit that the sender knows.
+    """
+
+    instance: str
+    statement: stated_limits.StatementMessage
+
+
+class PermitReply(NamedTuple):
+    """The home's reply.
+
+    Attributes
+    ----------
+    wait : float
+        Seconds until a permit is likely; 0 if it is granted.
+    """
+
+    wait: float
+
+
+class PermitBucket:
+    """Permits of one upstream, which accrue at a rate.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._level = 0.0
+        self._updated_at = now
+        self._promised_until = now
+
+    def is_available(self, rate: float, now: float) -> bool:
+        """Return whether there is a permit."""
+        self._accrue(rate, now)
+        return self._level >= 1.0
+
+    def take(self, rate: float, now: float) -> float:
+        """Take a permit; return 0, or the seconds until one is likely.
+
+        Those who get none are told later and later times, so that they do
+        not all return for the same permit.
+        """
+        if self.is_available(rate, now):
+            self._level -= 1.0
+            return 0.0
+        first = now + (1.0 - self._level) / rate
+        self._promised_until = max(
+            first, min(self._promised_until + 1.0 / rate, now + 60.0)
+        )
+        return min(self._promised_until - now, MAX_WAIT_SECONDS)
+
+    def _accrue(self, rate: float, now: float) -> None:
+        burst = max(rate * BURST_SECONDS, 1.0)
+        accrued = max(now - self._updated_at, 0.0) * rate
+        self._level = min(self._level + accrued, burst)
+        self._updated_at = now
+
 
 class UpstreamPermits:
-    """The service ``permits``.
+    """The service ``permits``; limits go to peers in the section ``limits``.
 
     Parameters
     ----------
@@ -17,22 +116,160 @@
     """
 
     name = 'permits'
-    requires: tuple[str, ...] = ('beliefs',)
+    requires: tuple[str, ...] = ('beliefs', 'fleet', 'peers')
 
     def __init__(self, calls: upstreams.UpstreamCalls) -> None:
         self._calls = calls
         self._limits = stated_limits.StatedLimits()
+        self._buckets_by_instance: dict[str, PermitBucket] = {}
+        self._denied_until_by_instance: dict[str, float] = {}
+        self._next_trial_by_instance: dict[str, float] = {}
+        self._digests_by_incarnation: dict[str, int] = {}
+        self._told_at = float('-inf')
 
     async def start(self, app: kernel.Application) -> None:
-        """Begin to read the limits in answers."""
+        """Begin to read limits, to tell them to peers, and to grant."""
         self._app = app
         self._store_view = app.find('beliefs', store_view.StoreView)
         self._store_view.on_upstreams_change.append(self._on_upstreams_changed)
+        self._membership = app.find('fleet', membership.Membership)
+        self._membership.add_section(
+            'limits', self._provide_limits, self._accept_limits
+        )
+        self._membership.on_ended.append(self._forget_peer)
+        self._homes = homes.Homes(app, self._membership)
+        self._peers = app.find('peers', peers.Peers)
+        self._peers.handle('want_permit', PermitRequest, self._on_request)
+        self._peers.add_reply_type('permit', PermitReply)
         self._calls.on_notice.append(self._on_notice)
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
 
+    def is_limited(self, upstream: model.Upstream) -> bool:
+        """Return whether an upstream states a limit."""
+        return self._limits.rate(upstream) is not None
+
+    def is_trial_due(self, upstream: model.Upstream) -> bool:
+        """Return whether a limited upstream is to get a request.
+
+        That is so now and then though others are free, as its limit may
+        have ended.
+        """
+        now = self._app.clock.monotonic()
+        return (
+            self.is_limited(upstream)
+            and self._next_trial_by_instance.get(upstream.instance, 0.0) <= now
+            and self.wait(upstream) == 0.0
+        )
+
+    def wait(self, upstream: model.Upstream) -> float:
+        """Return seconds for which an upstream gets no request from here."""
+        if not self.is_limited(upstream):
+            return 0.0
+        now = self._app.clock.monotonic()
+        until = self._denied_until_by_instance.get(upstream.instance, now)
+        return max(until - now, 0.0)
+
+    async def acquire(self, upstream: model.Upstream) -> bool:
+        """Return whether a plain upstream may get one request now."""
+        rate = self._limits.rate(upstream)
+        if rate is None:
+            return True
+        if self.wait(upstream) > 0.0:
+            return False
+        instance = upstream.instance
+        wait = await self._ask_home(upstream)
+        now = self._app.clock.monotonic()
+        if wait > 0.0:
+            self._denied_until_by_instance[instance] = now + wait
+            return False
+        daemons = len(self._membership.live())
+        seconds = daemons / (max(rate, MIN_RATE) * TRIAL_SHARE)
+        self._next_trial_by_instance[instance] = now + min(
+            seconds, MAX_TRIAL_SECONDS
+        )
+        return True
+
+    async def _ask_home(self, upstream: model.Upstream) -> float:
+        """Return the wait in seconds; 0 if a permit is granted."""
+        key = _home_key(upstream.instance)
+        home = self._homes.home(key)
+        if home == self._app.identity.vm:
+            return self._take(upstream, key)
+        now = self._app.clock.monotonic()
+        statement = self._limits.statement(upstream.instance, now)
+        if statement is None:
+            return 0.0  # the upstream has just been removed
+        reply = await self._peers.ask(
+            home,
+            PermitRequest(upstream.instance, statement),
+            ASK_TIMEOUT_SECONDS,
+        )
+        if reply.is_ok():
+            return float(reply.ok.wait)
+        self._homes.mark_unresponsive(home, key, reply.error.code)
+        return homes.SKIP_SECONDS
+
+    async def _on_request(
+        self, sender: peers.Sender, request: PermitRequest
+    ) -> PermitReply:
+        now = self._app.clock.monotonic()
+        self._merge(request.instance, request.statement, sender.vm)
+        upstream = self._store_view.upstreams_by_instance.get(request.instance)
+        if upstream is None:
+            return PermitReply(homes.SKIP_SECONDS)
+        wait = self._take(upstream, _home_key(request.instance))
+        self._app.events.add(
+            'upstream.permit',
+            instance=request.instance,
+            peer=sender.vm,
+            wait=f'{wait:.3f}',
+            limit=self._limits.rate(upstream),
+            age=f'{request.statement.age * stated_limits.AGE_UNIT_SECONDS}',
+            live=len(self._membership.live()),
+            at=f'{now:.3f}',
+        )
+        return PermitReply(wait)
+
+    def _take(self, upstream: model.Upstream, key: str) -> float:
+        rate = self._rate_as_home(upstream, key)
+        if rate is None:
+            return 0.0
+        if rate == 0.0:
+            return homes.SKIP_SECONDS
+        now = self._app.clock.monotonic()
+        return self._bucket(upstream).take(rate, now)
+
+    def _rate_as_home(
+        self, upstream: model.Upstream, key: str
+    ) -> float | None:
+        """Return the requests/s that this daemon grants.
+
+        Returns
+        -------
+        float or None
+            None if there is no limit, and 0 if another daemon is the home.
+        """
+        rate = self._limits.rate(upstream)
+        if rate is None:
+            return None
+        live = self._membership.live()
+        vm = self._app.identity.vm
+        if (rendezvous.home(key, live) or vm) != vm:
+            return 0.0
+        share = self._membership.live_share()
+        if len(live) > 1:
+            share = max(share, MIN_SIDE_SHARE)
+        return max(rate, MIN_RATE) * USABLE_SHARE * share
+
+    def _bucket(self, upstream: model.Upstream) -> PermitBucket:
+        bucket = self._buckets_by_instance.get(upstream.instance)
+        if bucket is None:
+            bucket = PermitBucket(self._app.clock.monotonic())
+            self._buckets_by_instance[upstream.instance] = bucket
+        return bucket
+
     def _on_notice(
         self, upstream: model.Upstream, notice: upstreams.Notice
     ) -> None:
@@ -47,11 +284,15 @@
             return
         now = self._app.clock.monotonic()
         if self._limits.record(upstream, notice.limit, now):
-            self._log_limit(upstream.instance, notice.limit, 'its answer')
+            self._on_limit_changed(upstream.instance, notice.limit, 'answer')
+            self._tell_peers()
 
-    def _log_limit(
+    def _on_limit_changed(
         self, instance: str, rate: float | None, source: str
     ) -> None:
+        # Waits and trials were those of the earlier limit.
+        self._denied_until_by_instance.pop(instance, None)
+        self._next_trial_by_instance.pop(instance, None)
         self._app.events.add(
             'upstream.limited',
             instance=instance,
@@ -59,5 +300,66 @@
             source=source,
         )
 
+    def _tell_peers(self) -> None:
+        """Send a heartbeat to all peers, at once unless one was just sent."""
+        now = self._app.clock.monotonic()
+        if now - self._told_at < membership.HEARTBEAT_SECONDS:
+            self._membership.broadcast_next()
+            return
+        self._told_at = now
+        self._membership.send_now()
+
+    def _provide_limits(self, vm: str) -> bytes | None:
+        """Return the limits; only their digest if the peer knows them."""
+        message = self._limits.message(self._app.clock.monotonic())
+        if not message.statements_by_instance:
+            return None
+        member = self._membership.members().get(vm)
+        incarnation = member.incarnation if member is not None else ''
+        if self._digests_by_incarnation.get(incarnation) == message.digest:
+            message = stated_limits.Message(message.digest)
+        return msgspec.msgpack.encode(message)
+
+    def _accept_limits(self, sender: peers.Sender, content: bytes) -> None:
+        try:
+            message = msgspec.msgpack.decode(
+                content, type=stated_limits.Message
+            )
+        except msgspec.MsgspecError as error:
+            self._app.events.add('peer.unreadable', peer=sender.vm, why=error)
+            return
+        self._digests_by_incarnation[sender.incarnation] = message.digest
+        for instance, statement in message.statements_by_instance.items():
+            self._merge(instance, statement, sender.vm)
+
+    def _merge(
+        self,
+        instance: str,
+        statement: stated_limits.StatementMessage,
+        vm: str,
+    ) -> None:
+        if statement.rate is not None and not (
+            0.0 <= statement.rate < math.inf
+        ):
+            return
+        now = self._app.clock.monotonic()
+        if self._limits.merge(instance, statement, now):
+            self._on_limit_changed(instance, statement.rate, f'peer {vm}')
+
+    def _forget_peer(self, incarnation: str) -> None:
+        self._digests_by_incarnation.pop(incarnation, None)
+
     def _on_upstreams_changed(self) -> None:
-        self._limits.retain(set(self._store_view.upstreams_by_instance))
+        instances = set(self._store_view.upstreams_by_instance)
+        self._limits.retain(instances)
+        for by_instance in (
+            self._buckets_by_instance,
+            self._denied_until_by_instance,
+            self._next_trial_by_instance,
+        ):
+            for instance in by_instance.keys() - instances:
+                del by_instance[instance]
+
+
+def _home_key(instance: str) -> str:
+    return f'permits/{instance}'
