Keep engines within the limits that they state

The home of a service places all its jobs, so its scheduler now counts the permits of the engines, too: one without a permit is avoided, others go first by a penalty, and a limited one is tried now and then. If all decode engines are limited, the expected wait follows from their rates, so that jobs which cannot be placed in time are refused at once. A daemon that decides in the place of a home that is gone places nothing on limited engines. Without a prefill engine that has a permit, decode engines read the prompt, as where no prefill engine is usable.

--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -88,9 +88,9 @@
         peers.Peers(adapters.channel),
         membership.Membership(address, seeds),
         store_view.StoreView(adapters.store, bounds.start_policy),
+        upstream_permits.UpstreamPermits(adapters.calls),
         placement.Placement(),
         upstream_notices.UpstreamNotices(adapters.calls),
-        upstream_permits.UpstreamPermits(adapters.calls),
         retries.RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         ),
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -18,6 +18,7 @@
 from corianderspar.router import model
 from corianderspar.router import scheduler
 from corianderspar.router import store_view
+from corianderspar.router import upstream_permits
 
 # For a home to reply that it has a job; 50 times the network latency.
 REPLY_TIMEOUT_SECONDS = 0.15
@@ -148,7 +149,7 @@
     """
 
     name = 'placement'
-    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs')
+    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs', 'permits')
 
     def __init__(self) -> None:
         self.reservations_by_id: dict[str, HeldReservation] = {}
@@ -164,6 +165,7 @@
         self._app = app
         self._membership = app.find('fleet', membership.Membership)
         self._store_view = app.find('beliefs', store_view.StoreView)
+        self._permits = app.find('permits', upstream_permits.UpstreamPermits)
         self._homes = homes.Homes(app, self._membership)
         self._peers = app.find('peers', peers.Peers)
         self._peers.handle('want_room', SubmitRequest, self._on_submit_request)
@@ -303,7 +305,7 @@
         if known is not None:
             known.limits = found.engine
             return known
-        created = scheduler.Scheduler(found.engine)
+        created = scheduler.Scheduler(found.engine, self._permits)
         created.set_engines(self._store_view.ready_upstreams(service))
         self._schedulers_by_service[service] = created
         return created
--- a/corianderspar/router/scheduler.py
+++ b/corianderspar/router/scheduler.py
@@ -23,6 +23,7 @@
 import collections
 import math
 from typing import NamedTuple
+from typing import Protocol
 
 from corianderspar.router import model
 from corianderspar.router import output_length
@@ -47,6 +48,8 @@
 # Added to the cost of a decode engine as a share of its memory, and to that
 # of a prefill engine as seconds. A transfer within a data centre costs half.
 REMOTE_PENALTY = 0.08
+# The same, for engines that state a limit.
+LIMITED_PENALTY = 0.5
 RETRY_MIN_SECONDS = 1.5
 RETRY_MAX_SECONDS = 5.0  # callers do not wait longer than this to retry
 RETRY_NO_ENGINE_SECONDS = 1.0  # while no engine is registered
@@ -241,6 +244,56 @@
     )
 
 
+class Permits(Protocol):
+    """Decides whether engines that state a limit may get a job."""
+
+    def rate(self, upstream: model.Upstream) -> float | None:
+        """Return the jobs per second that may be placed; None if unlimited."""
+        ...
+
+    def is_limited(self, upstream: model.Upstream) -> bool:
+        """Return whether an engine states a limit."""
+        ...
+
+    def is_available(self, upstream: model.Upstream) -> bool:
+        """Return whether an engine may get a job now."""
+        ...
+
+    def is_trial_due(self, upstream: model.Upstream) -> bool:
+        """Return whether a limited engine is to get one of the next jobs."""
+        ...
+
+    def take(self, upstream: model.Upstream) -> None:
+        """Count a job that is placed on an engine."""
+        ...
+
+
+class NoLimits:
+    """The permits where no engine states a limit; implements `Permits`."""
+
+    def rate(self, _upstream: model.Upstream) -> float | None:
+        """Return that an engine is unlimited."""
+        return None
+
+    def is_limited(self, _upstream: model.Upstream) -> bool:
+        """Return that an engine states no limit."""
+        return False
+
+    def is_available(self, _upstream: model.Upstream) -> bool:
+        """Return that an engine may get a job."""
+        return True
+
+    def is_trial_due(self, _upstream: model.Upstream) -> bool:
+        """Return that no engine needs a trial."""
+        return False
+
+    def take(self, _upstream: model.Upstream) -> None:
+        """Do nothing."""
+
+
+_NO_LIMITS = NoLimits()
+
+
 class Scheduler:
     """The memory ledger and the backlog of one service.
 
@@ -248,6 +301,8 @@
     ----------
     limits : EngineLimits
         Capacity of one engine.
+    permits : Permits
+        Asked for engines that state a limit of jobs per second.
 
     Attributes
     ----------
@@ -257,8 +312,11 @@
         Tokens per second of one prefill engine.
     """
 
-    def __init__(self, limits: model.EngineLimits) -> None:
+    def __init__(
+        self, limits: model.EngineLimits, permits: Permits = _NO_LIMITS
+    ) -> None:
         self.limits = limits
+        self._permits = permits
         self.reservations_by_id: dict[str, Reservation] = {}
         self.prefill_rate = PREFILL_TOKENS_PER_SECOND
         self._engines_by_instance: dict[str, model.Upstream] = {}
@@ -459,10 +517,29 @@
             for other in self._backlog_by_id.values()
             if self._sort_key(other, now) <= self._sort_key(job, now)
         )
-        return (ahead + job.kv_tokens) / self._freed_tokens_per_second(
-            job, now
+        return max(
+            (ahead + job.kv_tokens) / self._freed_tokens_per_second(job, now),
+            self._permit_wait(job, now),
         )
 
+    def _permit_wait(self, job: Job, now: float) -> float:
+        """Return the seconds until engines that are all limited get a job."""
+        total = 0.0
+        for engine in self._usable_decode_engines(
+            job, now, ignore_avoided=True
+        ):
+            rate = self._permits.rate(engine)
+            if rate is None:
+                return 0.0
+            total += rate
+        if total <= 0.0:
+            return RETRY_MAX_SECONDS
+        ahead = sum(
+            self._sort_key(other, now) <= self._sort_key(job, now)
+            for other in self._backlog_by_id.values()
+        )
+        return (ahead + 1) / total
+
     def _freed_tokens_per_second(self, job: Job, now: float) -> float:
         """Return the memory that full engines free, in tokens per second."""
         engines = (
@@ -544,7 +621,15 @@
         ]
 
     def _is_avoided(self, engine: model.Upstream, now: float) -> bool:
-        return self._avoided_until_by_instance.get(engine.instance, 0.0) > now
+        return self._avoided_until_by_instance.get(
+            engine.instance, 0.0
+        ) > now or not self._permits.is_available(engine)
+
+    def _yields_to_others(self, engine: model.Upstream) -> bool:
+        """Return whether engines without a limit go before this one."""
+        return self._permits.is_limited(
+            engine
+        ) and not self._permits.is_trial_due(engine)
 
     def _fits(self, engine: model.Upstream, job: Job) -> bool:
         return job.kv_tokens <= self.limits.memory_tokens
@@ -613,6 +698,8 @@
             cost = peak / self.limits.memory_tokens
             if engine.data_centre != job.data_centre:
                 cost += REMOTE_PENALTY
+            if self._yields_to_others(engine):
+                cost += LIMITED_PENALTY
             if best is None or cost < best[0]:
                 best = cost, engine
         if best is None:
@@ -623,6 +710,8 @@
         if prefill is None:
             return None
         grant = Grant(prefill, best[1].instance)
+        for instance in filter(None, grant):
+            self._permits.take(self._engines_by_instance[instance])
         uses_by_instance.setdefault(grant.decode, []).append(new)
         prefilled_at = None if prefill else now
         self.reservations_by_id[job.job_id] = Reservation(
@@ -661,11 +750,8 @@
             engines,
             key=lambda e: (
                 queued[e.instance] / self.prefill_rate
-                + (
-                    REMOTE_PENALTY
-                    if e.data_centre != decode.data_centre
-                    else 0
-                )
+                + REMOTE_PENALTY * (e.data_centre != decode.data_centre)
+                + LIMITED_PENALTY * self._yields_to_others(e)
             ),
         )
         wait = queued[best.instance] / self.prefill_rate
--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -2,9 +2,10 @@
 
 An upstream states how many requests per second it accepts from all daemons
 together. For each limited upstream one daemon, its home, counts for all and
-grants permits. A daemon that reaches no home sends nothing there. During a
-network partition each side grants its part, so that even daemons that hear
-nobody stay within the limit together.
+grants permits; for engines that is the home of their service, which places
+their jobs. A daemon that reaches no home sends nothing there. During a network
+partition each side grants its part, so that even daemons that hear nobody stay
+within the limit together.
 """
 
 import math
@@ -185,12 +186,44 @@
             self._denied_until_by_instance[instance] = now + wait
             return False
         daemons = len(self._membership.live())
-        seconds = daemons / (max(rate, MIN_RATE) * TRIAL_SHARE)
-        self._next_trial_by_instance[instance] = now + min(
-            seconds, MAX_TRIAL_SECONDS
-        )
+        self._set_next_trial(upstream, max(rate, MIN_RATE) / daemons, now)
         return True
 
+    def rate(self, upstream: model.Upstream) -> float | None:
+        """Return the jobs/s that this daemon may place on an engine.
+
+        Returns
+        -------
+        float or None
+            None if it states no limit, and 0 if this daemon is not the home
+            of its service.
+        """
+        return self._rate_as_home(upstream, upstream.service)
+
+    def is_available(self, upstream: model.Upstream) -> bool:
+        """Return whether this daemon may place a job on an engine now."""
+        rate = self.rate(upstream)
+        if rate is None:
+            return True
+        now = self._app.clock.monotonic()
+        return rate > 0.0 and self._bucket(upstream).is_available(rate, now)
+
+    def take(self, upstream: model.Upstream) -> None:
+        """Count a job that is placed on an engine."""
+        rate = self.rate(upstream)
+        if not rate:
+            return
+        now = self._app.clock.monotonic()
+        self._bucket(upstream).take(rate, now)
+        self._set_next_trial(upstream, rate, now)
+
+    def _set_next_trial(
+        self, upstream: model.Upstream, rate: float, now: float
+    ) -> None:
+        self._next_trial_by_instance[upstream.instance] = now + min(
+            1.0 / (rate * TRIAL_SHARE), MAX_TRIAL_SECONDS
+        )
+
     async def _ask_home(self, upstream: model.Upstream) -> float:
         """Return the wait in seconds; 0 if a permit is granted."""
         key = _home_key(upstream.instance)
