Keep other suspects at each crash that has too many

Of the suspects of a crash 64 are kept. They were the first ones by name, the same at each crash, so a culprit late in the alphabet beside more than 63 others was never convicted; and since whole requests are suspects, too, their names, which come after those of parts, would have been the first to go. Found by reading. The order now depends on the crash, and is still the same on all daemons. The new test failed before.

--- a/corianderspar/router/prompt_poison.py
+++ b/corianderspar/router/prompt_poison.py
@@ -387,8 +387,14 @@
             if self._success_at_by_part.get(part, float('-inf')) > at
         }
         if len(suspects) > MAX_SUSPECTS:
-            # The same ones on all daemons.
-            kept = sorted(suspects, key=lambda part: (part in cleared, part))
+            # The same ones on all daemons, but others at each crash.
+            kept = sorted(
+                suspects,
+                key=lambda part: (
+                    part in cleared,
+                    xxhash.xxh64_intdigest(f'{process} {part}'.encode()),
+                ),
+            )
             suspects = frozenset(kept[:MAX_SUSPECTS])
         merged = Crash(
             at,
--- a/tests/router/test_poison.py
+++ b/tests/router/test_poison.py
@@ -87,3 +87,17 @@
     found.record_crash('e2@1', (f'{MARK}2',), 9.0, 9.0)
     convictions = found.convictions()
     assert convictions[MARK].is_tied and not convictions['own'].is_tied
+
+
+def test_culprit_among_too_many_suspects_is_convicted():
+    for culprit in ('zz', MARK):
+        found = prompt_poison.PartCrashes()
+        for number in range(12):
+            at = 10.0 * number
+            others = [
+                name.format(number, other)
+                for other in range(prompt_poison.MAX_SUSPECTS // 2)
+                for name in ('{}-{}', poison.SUSPECT_PREFIX + '{}-{}')
+            ]
+            found.record_crash(f'e{number}@1', (*others, culprit), at, at)
+        assert list(found.convictions()) == [culprit]
