Bound what a limit that changes with each answer costs

Found by reading: an upstream may state another rate in each answer. Each change was sent to all peers at once, in a large fleet to each of them and from each daemon that heard it, and made a daemon forget how long it had no permit and try the upstream again. Only the begin and the end of a limit are now sent at once; other changes go with the next heartbeats, 32 at most, and with the questions for permits. A wait ends early only if the limit is raised. The times promised to those without a permit end with the longest wait, so that a rush does not hold up later ones. An upstream that was unreachable lately gets no trial.

--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -208,7 +208,12 @@
                 for upstream in candidates
                 if self._permits.is_limited(upstream)
             }
-            on_trial = [u for u in candidates if self._permits.is_trial_due(u)]
+            on_trial = [
+                upstream
+                for upstream in candidates
+                if self._permits.is_trial_due(upstream)
+                and not self._selector.is_suspect(upstream, now)
+            ]
             upstream = self._selector.choose(
                 on_trial or candidates, (), now, limited
             )
--- a/corianderspar/router/selection.py
+++ b/corianderspar/router/selection.py
@@ -90,7 +90,7 @@
         return min(
             (u for u in upstreams if u.instance not in excluded_instances),
             key=lambda u: (
-                self._is_suspect(u, now),
+                self.is_suspect(u, now),
                 self._cost(u, now) + LIMITED_SECONDS * (u.instance in limited),
             ),
             default=None,
@@ -152,7 +152,8 @@
             if instance not in instances:
                 del self._statistics_by_instance[instance]
 
-    def _is_suspect(self, upstream: model.Upstream, now: float) -> bool:
+    def is_suspect(self, upstream: model.Upstream, now: float) -> bool:
+        """Return whether an upstream was unreachable lately."""
         known = self._statistics_by_instance.get(upstream.instance, _INITIAL)
         return known.suspect_until > now
 
--- a/corianderspar/router/stated_limits.py
+++ b/corianderspar/router/stated_limits.py
@@ -16,6 +16,7 @@
 from corianderspar.router import model
 
 MAX_STATEMENTS = 256  # those stated least lately are dropped
+MAX_TOLD_STATEMENTS = 32  # in one message: about 1.3 KB
 AGE_UNIT_SECONDS = 0.1  # ages are sent as whole multiples of it
 
 
@@ -37,6 +38,25 @@
     at: float
 
 
+class Change(NamedTuple):
+    """A change of a limit, in requests/s; None stands for no limit."""
+
+    before: float | None
+    after: float | None
+
+    @property
+    def is_lifted(self) -> bool:
+        """Whether more requests are accepted than before."""
+        return self.before is not None and (
+            self.after is None or self.after > self.before
+        )
+
+    @property
+    def begins_or_ends(self) -> bool:
+        """Whether a limit begins or ends."""
+        return (self.before is None) != (self.after is None)
+
+
 class StatementMessage(NamedTuple):
     """A statement in a message between daemons.
 
@@ -80,8 +100,8 @@
 
     def record(
         self, upstream: model.Upstream, rate: float | None, now: float
-    ) -> bool:
-        """Note what an answer states; return whether the limit changed.
+    ) -> Change | None:
+        """Note what an answer states; return the change of the limit, if any.
 
         Parameters
         ----------
@@ -93,7 +113,7 @@
             Monotonic seconds.
         """
         if rate is None and self.rate(upstream) is None:
-            return False
+            return None
         return self._set(
             upstream.instance, Statement(upstream.started_ms, rate, now)
         )
@@ -131,19 +151,34 @@
         age = math.ceil((now - known.at) / AGE_UNIT_SECONDS)
         return StatementMessage(known.started_ms, known.rate, age)
 
-    def message(self, now: float) -> Message:
-        """Return what a peer that does not know the same is told."""
+    def message(self, now: float, known_digest: int | None) -> Message | None:
+        """Return what a peer is told; None if there is nothing to tell.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        known_digest : int or None
+            The digest that the peer told last.
+        """
+        if not self._statements_by_instance:
+            return None
+        if known_digest == self.digest():
+            return Message(known_digest)
+        newest = list(self._statements_by_instance)[-MAX_TOLD_STATEMENTS:]
         return Message(
             self.digest(),
             {
                 instance: told
-                for instance in self._statements_by_instance
+                for instance in newest
                 if (told := self.statement(instance, now)) is not None
             },
         )
 
-    def merge(self, instance: str, told: StatementMessage, now: float) -> bool:
-        """Add what a peer knows; return whether the limit changed."""
+    def merge(
+        self, instance: str, told: StatementMessage, now: float
+    ) -> Change | None:
+        """Add what a peer knows; return the change of the limit, if any."""
         statement = Statement(
             told.started_ms, told.rate, now - told.age * AGE_UNIT_SECONDS
         )
@@ -155,17 +190,20 @@
                 and known.at >= statement.at
             )
         ):
-            return False
+            return None
         return self._set(instance, statement)
 
-    def _set(self, instance: str, statement: Statement) -> bool:
+    def _set(self, instance: str, statement: Statement) -> Change | None:
         known = self._statements_by_instance.pop(instance, None)
         self._statements_by_instance[instance] = statement
         if len(self._statements_by_instance) > MAX_STATEMENTS:
             del self._statements_by_instance[
                 next(iter(self._statements_by_instance))
             ]
-        is_changed = known is None or known[:2] != statement[:2]
-        if is_changed:
-            self._digest = None
-        return is_changed
+        before = None
+        if known is not None and known.started_ms == statement.started_ms:
+            before = known.rate
+            if before == statement.rate:
+                return None
+        self._digest = None
+        return Change(before, statement.rate)
--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -95,10 +95,11 @@
             self._level -= 1.0
             return 0.0
         first = now + (1.0 - self._level) / rate
-        self._promised_until = max(
-            first, min(self._promised_until + 1.0 / rate, now + 60.0)
+        self._promised_until = min(
+            max(first, self._promised_until + 1.0 / rate),
+            now + MAX_WAIT_SECONDS,
         )
-        return min(self._promised_until - now, MAX_WAIT_SECONDS)
+        return self._promised_until - now
 
     def _accrue(self, rate: float, now: float) -> None:
         burst = max(rate * BURST_SECONDS, 1.0)
@@ -316,20 +317,24 @@
         if notice.is_replaced:
             return
         now = self._app.clock.monotonic()
-        if self._limits.record(upstream, notice.limit, now):
-            self._on_limit_changed(upstream.instance, notice.limit, 'answer')
-            self._tell_peers()
+        change = self._limits.record(upstream, notice.limit, now)
+        if change is not None:
+            self._on_limit_changed(upstream.instance, change, 'answer')
+            if change.begins_or_ends:
+                self._tell_peers()
 
     def _on_limit_changed(
-        self, instance: str, rate: float | None, source: str
+        self, instance: str, change: stated_limits.Change, source: str
     ) -> None:
-        # Waits and trials were those of the earlier limit.
-        self._denied_until_by_instance.pop(instance, None)
-        self._next_trial_by_instance.pop(instance, None)
+        if change.is_lifted:
+            self._denied_until_by_instance.pop(instance, None)
+        if change.begins_or_ends:
+            self._next_trial_by_instance.pop(instance, None)
         self._app.events.add(
             'upstream.limited',
             instance=instance,
-            per_second='none' if rate is None else rate,
+            per_second='none' if change.after is None else change.after,
+            before='none' if change.before is None else change.before,
             source=source,
         )
 
@@ -344,14 +349,13 @@
 
     def _provide_limits(self, vm: str) -> bytes | None:
         """Return the limits; only their digest if the peer knows them."""
-        message = self._limits.message(self._app.clock.monotonic())
-        if not message.statements_by_instance:
-            return None
         member = self._membership.members().get(vm)
         incarnation = member.incarnation if member is not None else ''
-        if self._digests_by_incarnation.get(incarnation) == message.digest:
-            message = stated_limits.Message(message.digest)
-        return msgspec.msgpack.encode(message)
+        message = self._limits.message(
+            self._app.clock.monotonic(),
+            self._digests_by_incarnation.get(incarnation),
+        )
+        return None if message is None else msgspec.msgpack.encode(message)
 
     def _accept_limits(self, sender: peers.Sender, content: bytes) -> None:
         try:
@@ -376,8 +380,9 @@
         ):
             return
         now = self._app.clock.monotonic()
-        if self._limits.merge(instance, statement, now):
-            self._on_limit_changed(instance, statement.rate, f'peer {vm}')
+        change = self._limits.merge(instance, statement, now)
+        if change is not None:
+            self._on_limit_changed(instance, change, f'peer {vm}')
 
     def _forget_peer(self, incarnation: str) -> None:
         self._digests_by_incarnation.pop(incarnation, None)
