Send to limited upstreams from the last daemon that drains

Found by reading: a daemon that drains counts no live daemon if it is alone, and divided the limit by their number, so that each request that had got a permit ended in an internal fault. The new test failed before.

--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -186,7 +186,7 @@
         if wait > 0.0:
             self._denied_until_by_instance[instance] = now + wait
             return False
-        daemons = len(self._membership.live())
+        daemons = max(len(self._membership.live()), 1)
         self._set_next_trial(upstream, max(rate, MIN_RATE) / daemons, now)
         return True
 
@@ -234,7 +234,7 @@
         now = self._app.clock.monotonic()
         statement = self._limits.statement(upstream.instance, now)
         if statement is None:
-            return 0.0  # the upstream has just been removed
+            return 0.0  # the limit was forgotten meanwhile
         reply = await self._peers.ask(
             home,
             PermitRequest(upstream.instance, statement),
@@ -248,21 +248,20 @@
     async def _on_request(
         self, sender: peers.Sender, request: PermitRequest
     ) -> PermitReply:
-        now = self._app.clock.monotonic()
         self._merge(request.instance, request.statement, sender.vm)
         upstream = self._store_view.upstreams_by_instance.get(request.instance)
         if upstream is None:
             return PermitReply(homes.SKIP_SECONDS)
         wait = self._take(upstream, _home_key(request.instance))
+        age = request.statement.age * stated_limits.AGE_UNIT_SECONDS
         self._app.events.add(
             'upstream.permit',
             instance=request.instance,
             peer=sender.vm,
             wait=f'{wait:.3f}',
             limit=self._limits.rate(upstream),
-            age=f'{request.statement.age * stated_limits.AGE_UNIT_SECONDS}',
+            age=f'{age:.1f}',
             live=len(self._membership.live()),
-            at=f'{now:.3f}',
         )
         return PermitReply(wait)
 
--- a/tests/router/test_upstream_limits.py
+++ b/tests/router/test_upstream_limits.py
@@ -283,6 +283,20 @@
     run_fleet(main)
 
 
+def test_last_daemon_serves_at_limited_upstreams_while_it_drains():
+    async def main(fleet):
+        fleet.limit(names('s'), 2.0)
+        await fleet.load('look', 5.0, 10.0)
+        fleet.membership('vm1').leaving = True
+        fleet.answers.clear()
+        await fleet.load('look', 5.0, 10.0)
+        statuses = {answer.status for _at, _for, answer in fleet.answers}
+        assert statuses == {200, 503}
+        assert not fleet.events('vm1', 'request.fault')
+
+    run_fleet(main, 1)
+
+
 def test_new_process_of_the_same_instance_has_no_limit():
     async def main(fleet):
         old = [
