Take turns by one suspect when a request tests several

Found by reading: a request may be convicted as a whole and for a part of its prompt. Each suspect had turns of its own among the daemons, by rendezvous hashing, and a probe waited until both were a daemon's turn, up to a second for each daemon of the fleet. The first suspect now gives the turn. Poison tests pass as before, also with 40 daemons.

--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -83,7 +83,7 @@
             not poison.is_whole_request(suspect) for suspect in convicted
         )
         # With two parts, a crash would not tell which of them is to blame.
-        if part_count <= 1 and all(map(self._may_probe, convicted)):
+        if convicted and part_count <= 1 and self._may_probe(convicted):
             self._begin_probe(context, convicted)
         self.refuse_convicted(context)
 
@@ -360,13 +360,15 @@
             if suspect in convictions and suspect not in context.probed
         )
 
-    def _may_probe(self, suspect: str) -> bool:
+    def _may_probe(self, convicted: tuple[str, ...]) -> bool:
         """Return whether this daemon is the first whose probe is due."""
         now = self._app.clock.monotonic()
-        due_at = self._part_crashes.probe_due_at(suspect)
+        due_at = max(map(self._part_crashes.probe_due_at, convicted))
         if now < due_at:
             return False
-        ranked = rendezvous.rank(f'poison/{suspect}', self._membership.live())
+        ranked = rendezvous.rank(
+            f'poison/{convicted[0]}', self._membership.live()
+        )
         vm = self._app.identity.vm
         turn = ranked.index(vm) if vm in ranked else len(ranked)
         return now >= due_at + turn * PROBE_STAGGER_SECONDS
@@ -376,8 +378,6 @@
         context: request_context.RequestContext,
         convicted: tuple[str, ...],
     ) -> None:
-        if not convicted:
-            return
         context.probed = convicted
         for suspect in convicted:
             self._part_crashes.record_probe(
