Play poison and limits around planned work in the check

One short soak with a fixed seed crashes plain upstreams and engines by requests and has upstreams state limits, beside restarts, reloads, new versions and replaced engines. The rule for limits in the soak's ledger gets a test of its own.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -96,3 +96,31 @@
     one = soak.Soak(seed, 6.0, tmp_path, 3, is_planned=True)
     assert await one.play() == []
     assert any(found.status == 200 for found in one.asked)
+
+
+async def test_poison_and_limits_are_kept_around_planned_work(tmp_path):
+    one = soak.Soak(
+        41,
+        10.0,
+        tmp_path,
+        3,
+        is_planned=True,
+        has_poison=True,
+        has_limits=True,
+    )
+    assert await one.play() == []
+    assert any(found.status == 200 for found in one.asked)
+    assert one.crashes_by_service['shop']
+    assert any(engine.limits for engine in one.engines)
+
+
+def test_too_many_requests_at_a_limited_upstream_are_a_finding():
+    limits = [(10.0, '2'), (20.0, 'many'), (30.0, ''), (40.0, '0')]
+    calm = [10.0 + 0.5 * number for number in range(20)]
+    assert not ledger.check_limits('s1', calm, limits)
+    assert not ledger.check_limits('s1', [11.0] * 50, limits)
+    assert not ledger.check_limits('s1', [35.0] * 50, limits)
+    assert ledger.check_limits('s1', [14.0] * 18, limits)
+    assert not ledger.check_limits('s1', [44.0] * 5, limits)
+    assert ledger.check_limits('s1', [44.0, 47.9] * 3, limits)
+    assert not ledger.check_limits('s1', calm, [])
