--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -25,7 +25,7 @@
 REPLACEMENT_SECONDS = 5.0
 REPLACEMENT_POLL_SECONDS = 1.0
 # By this much longer than the daemon before it, in the order of rendezvous
-# hashing, a daemon waits until it probes a part, so that it hears of a probe.
+# hashing, a daemon waits before a probe, so that it hears of another one.
 PROBE_STAGGER_SECONDS = 1.0
 MAX_LOGGED_CHARACTERS = 200
 
@@ -40,7 +40,7 @@
     Parameters
     ----------
     calls : UpstreamCalls
-        The client for the engines.
+        The client for the upstreams.
     """
 
     name = 'quarantine'
