Charge a failed probe only to suspects that were probed

Their shared part was tied with the culprit, whose probe had crashed an engine; that probe was charged to each suspect of the crash, so the innocent part was given up as well, and refused until 600 s after its last request.

A part is now given up only after probes of its own. The number of crashes by a culprit does not change: a probe with two convicted parts is still not sent.

--- a/corianderspar/router/prompt_poison.py
+++ b/corianderspar/router/prompt_poison.py
@@ -448,6 +448,7 @@
         self._probes_by_part[part] = probe
         if len(self._probes_by_part) > MAX_PROBED_PARTS:
             del self._probes_by_part[next(iter(self._probes_by_part))]
+        self._convictions = None
         self._digest = None
 
     def _on_changed(self) -> None:
@@ -492,7 +493,7 @@
                         if poison.is_whole_request(each) == is_whole
                     ]
                     convictions[part] = self._conviction(
-                        unexplained[part], is_proven, len(alike) > 1
+                        part, unexplained[part], is_proven, len(alike) > 1
                     )
                     explained |= unexplained[part]
                 for processes in processes_by_part.values():
@@ -500,16 +501,18 @@
         return convictions
 
     def _conviction(
-        self, processes: set[str], is_proven: bool, is_tied: bool
+        self, part: str, processes: set[str], is_proven: bool, is_tied: bool
     ) -> Conviction:
         crashes = [self.crashes_by_process[process] for process in processes]
+        # A crash does not tell which of its suspects were probed.
+        probes = self._probes_by_part.get(part, Probe(0, 0.0)).number
         return Conviction(
             len(crashes),
             self._count_times(processes),
             max(crash.at for crash in crashes),
             is_proven,
             is_tied,
-            sum(crash.is_probe for crash in crashes),
+            min(sum(crash.is_probe for crash in crashes), probes),
         )
 
     def _convicts(self, process: str) -> bool:
--- a/tests/router/test_prompt_poison.py
+++ b/tests/router/test_prompt_poison.py
@@ -126,6 +126,19 @@
     assert found.probe_due_at('a') == float('inf')
 
 
+def test_part_beside_one_whose_probe_failed_is_still_probed():
+    found = crashes('bad shared', 'bad shared', step=1.0)
+    due_at = found.probe_due_at('bad')
+    found.record_probe('bad', due_at)
+    found.record_crash(
+        'e9@1', ('bad', 'shared'), due_at + 0.1, due_at + 0.1, is_probe=True
+    )
+    assert found.probe_due_at('bad') == float('inf')
+    assert found.probe_due_at('shared') < due_at + 10.0
+    assert found.record_success(('shared',), due_at + 9.0) == ['shared']
+    assert list(found.convictions()) == ['bad']
+
+
 def test_tied_parts_are_probed_soon():
     found = crashes('a b', 'a b')
     assert found.probe_due_at('a') == 10.0 + prompt_poison.SHORT_PROBE_SECONDS
