Look up the fleet for permits ten times a second at most

Found by reading: the scheduler asks for each engine whether it has a permit, and each question for a limited one sorted the live daemons and hashed them all to find the home: at the size to design for, 360 daemons and 3,300 engines, too much for a loop that runs at each job. Homes and the share of the fleet are now kept for 0.1 s. The tests of limits pass as before, with 40 daemons too; the cost at that size was not measured.

--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -37,6 +37,9 @@
 # While other upstreams are free, a limited one gets this part of its limit.
 TRIAL_SHARE = 0.5
 MAX_TRIAL_SECONDS = 4.0  # from one such request of a daemon to the next
+# For which homes and the share of the fleet are not looked up again: that
+# takes time in a large fleet, and a scheduler asks for each engine.
+FLEET_CACHE_SECONDS = 0.1
 
 
 class PermitRequest(NamedTuple):
@@ -66,6 +69,27 @@
     wait: float
 
 
+class _Fleet(NamedTuple):
+    """What is derived from the members of the fleet.
+
+    Attributes
+    ----------
+    live : list of str
+        The live VMs that are not draining.
+    share : float
+        The share of all permits that this side of a partition grants.
+    homes_by_key : dict of str to str
+        VMs by keys that were looked up.
+    at : float
+        Monotonic seconds.
+    """
+
+    live: list[str]
+    share: float
+    homes_by_key: dict[str, str]
+    at: float
+
+
 class PermitBucket:
     """Permits of one upstream, which accrue at a rate.
 
@@ -128,6 +152,7 @@
         self._next_trial_by_instance: dict[str, float] = {}
         self._digests_by_incarnation: dict[str, int] = {}
         self._told_at = float('-inf')
+        self._fleet_cache = _Fleet([], 0.0, {}, float('-inf'))
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to read limits, to tell them to peers, and to grant."""
@@ -186,7 +211,7 @@
         if wait > 0.0:
             self._denied_until_by_instance[instance] = now + wait
             return False
-        daemons = max(len(self._membership.live()), 1)
+        daemons = max(len(self._fleet().live), 1)
         self._set_next_trial(upstream, max(rate, MIN_RATE) / daemons, now)
         return True
 
@@ -261,7 +286,7 @@
             wait=f'{wait:.3f}',
             limit=self._limits.rate(upstream),
             age=f'{age:.1f}',
-            live=len(self._membership.live()),
+            live=len(self._fleet().live),
         )
         return PermitReply(wait)
 
@@ -287,14 +312,26 @@
         rate = self._limits.rate(upstream)
         if rate is None:
             return None
-        live = self._membership.live()
+        fleet = self._fleet()
         vm = self._app.identity.vm
-        if (rendezvous.home(key, live) or vm) != vm:
+        home = fleet.homes_by_key.get(key)
+        if home is None:
+            home = rendezvous.home(key, fleet.live) or vm
+            fleet.homes_by_key[key] = home
+        if home != vm:
             return 0.0
-        share = self._membership.live_share()
-        if len(live) > 1:
-            share = max(share, MIN_SIDE_SHARE)
-        return max(rate, MIN_RATE) * USABLE_SHARE * share
+        return max(rate, MIN_RATE) * USABLE_SHARE * fleet.share
+
+    def _fleet(self) -> _Fleet:
+        """Return what is derived from the members, of lately."""
+        now = self._app.clock.monotonic()
+        if now - self._fleet_cache.at > FLEET_CACHE_SECONDS:
+            live = self._membership.live()
+            share = self._membership.live_share()
+            if len(live) > 1:
+                share = max(share, MIN_SIDE_SHARE)
+            self._fleet_cache = _Fleet(live, share, {}, now)
+        return self._fleet_cache
 
     def _bucket(self, upstream: model.Upstream) -> PermitBucket:
         bucket = self._buckets_by_instance.get(upstream.instance)
