Send news to all peers in one place

The quarantine and the permits each had the same lines for a heartbeat to all peers at once, and a clock of their own, so that both could send one within the same interval. Membership has them now, with one clock.

--- a/corianderspar/router/membership.py
+++ b/corianderspar/router/membership.py
@@ -168,6 +168,7 @@
         self._vms_by_hash: dict[int, str] = {}
         self._send_queue: collections.deque[str] = collections.deque()
         self._is_broadcast_due = False
+        self._broadcast_at = float('-inf')
         self._gossip_at = float('-inf')
         self._gossip_cache: tuple[list[Member], dict[int, int]] = [], {}
         self._ended_incarnations: collections.OrderedDict[str, None] = (
@@ -273,6 +274,18 @@
         """Send the next heartbeat to all members, even in a large fleet."""
         self._is_broadcast_due = True
 
+    def broadcast_soon(self) -> None:
+        """Send a heartbeat to all members at once, unless one was just sent.
+
+        In that case the next one goes to all members.
+        """
+        now = self._app.clock.monotonic()
+        if now - self._broadcast_at < HEARTBEAT_SECONDS:
+            self.broadcast_next()
+            return
+        self._broadcast_at = now
+        self.send_now()
+
     def reconnect(self, vm: str) -> None:
         """Replace the connections to and from a peer that does not answer.
 
--- a/corianderspar/router/quarantine.py
+++ b/corianderspar/router/quarantine.py
@@ -51,7 +51,6 @@
         self._part_crashes = prompt_poison.PartCrashes()
         self._digests_by_incarnation: dict[str, int] = {}
         self._logged_parts: frozenset[str] = frozenset()
-        self._told_at = float('-inf')
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to exchange crashes with peers."""
@@ -242,7 +241,7 @@
             context.suspects, self._app.clock.monotonic()
         )
         if lifted:
-            self._tell_peers()
+            self._membership.broadcast_soon()
             self._log_changes(f'answer to {context.request.request_id}')
 
     async def _check_crash(
@@ -290,7 +289,7 @@
             self._app.clock.monotonic(),
             is_probe,
         )
-        self._tell_peers()
+        self._membership.broadcast_soon()
         self._app.events.add(
             'request.at_crash',
             request=context.request.request_id,
@@ -386,16 +385,7 @@
             self._log_suspect(
                 suspect, 'probed', request=context.request.request_id
             )
-        self._tell_peers()
-
-    def _tell_peers(self) -> None:
-        """Send a heartbeat to all peers, at once unless one was just sent."""
-        now = self._app.clock.monotonic()
-        if now - self._told_at < membership.HEARTBEAT_SECONDS:
-            self._membership.broadcast_next()
-            return
-        self._told_at = now
-        self._membership.send_now()
+        self._membership.broadcast_soon()
 
     def _log_changes(self, cause: str) -> None:
         """Log who was convicted or cleared since the last call."""
--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -151,7 +151,6 @@
         self._denied_until_by_instance: dict[str, float] = {}
         self._next_trial_by_instance: dict[str, float] = {}
         self._digests_by_incarnation: dict[str, int] = {}
-        self._told_at = float('-inf')
         self._fleet_cache = _Fleet([], 0.0, {}, float('-inf'))
 
     async def start(self, app: kernel.Application) -> None:
@@ -357,7 +356,7 @@
         if change is not None:
             self._on_limit_changed(upstream.instance, change, 'answer')
             if change.begins_or_ends:
-                self._tell_peers()
+                self._membership.broadcast_soon()
 
     def _on_limit_changed(
         self, instance: str, change: stated_limits.Change, source: str
@@ -374,15 +373,6 @@
             source=source,
         )
 
-    def _tell_peers(self) -> None:
-        """Send a heartbeat to all peers, at once unless one was just sent."""
-        now = self._app.clock.monotonic()
-        if now - self._told_at < membership.HEARTBEAT_SECONDS:
-            self._membership.broadcast_next()
-            return
-        self._told_at = now
-        self._membership.send_now()
-
     def _provide_limits(self, vm: str) -> bytes | None:
         """Return the limits; only their digest if the peer knows them."""
         member = self._membership.members().get(vm)
