--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -453,6 +453,13 @@
             failure = result.error
             if failure.fault is upstreams.Fault.NOT_SENT:
                 context.prefill_count -= 1
+            elif (
+                failure.fault is upstreams.Fault.BROKEN
+                and not failure.is_alive
+            ):
+                self._quarantine.record_broken(
+                    context, request_context.UpstreamRun(engine)
+                )
             if failure.misdirected or (
                 failure.fault is not upstreams.Fault.REFUSED
             ):
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -271,6 +271,8 @@
     poison_targets : set of str
         Targets of requests; an upstream that begins an answer to one of
         them crashes.
+    is_prefill_poisoned : bool
+        Whether such a request crashes prefill engines, too.
     crash_times : list of float
         When upstreams crashed, seconds of the event loop.
     down_seconds : float
@@ -287,6 +289,7 @@
     def __init__(self, fake_store: FakeStore | None = None) -> None:
         self.poison_parts: set[str] = set()
         self.poison_targets: set[str] = set()
+        self.is_prefill_poisoned = False
         self.crash_times: list[float] = []
         self.down_seconds = ENGINE_DOWN_SECONDS
         self._store = fake_store
@@ -431,6 +434,11 @@
         )
         if failure is not None:
             return Error(failure)
+        if self._upstreams.is_prefill_poisoned and self._upstreams.is_poison(
+            request
+        ):
+            self._upstreams.crash(upstream)
+            return Error(upstreams.Failure(upstreams.Fault.BROKEN, 'reset'))
         handle = f'{upstream.instance}/{request.request_id}'
         return Ok(upstreams.PrefillHandle(upstream, handle))
 
