--- a/tests/router/test_poison_requests.py
+++ b/tests/router/test_poison_requests.py
@@ -315,3 +315,39 @@
         assert not [each for each in traffic.outcomes if each.is_quarantined]
 
     run_fleet(main)
+
+
+@pytest.mark.parametrize('restart_daemons', (False, True))
+@pytest.mark.parametrize('kind', KINDS, ids=str)
+def test_poison_request_is_found_while_upstreams_are_replaced(
+    kind, restart_daemons
+):
+    async def main(fleet):
+        sends = record_sends(fleet)
+
+        async def replace_in_turn():
+            for round_number in range(2):
+                for old in upstreams():
+                    by_instance = fleet.store_view('vm1').upstreams_by_instance
+                    present = by_instance.get(old.instance)
+                    if present is None:
+                        continue  # crashed, and back as another instance
+                    new = present._replace(
+                        instance=f'{old.instance}-{round_number}',
+                        port=present.port + 100,
+                    )
+                    fleet.store.register(new)
+                    fleet.store.register(present._replace(ready=False))
+                    await asyncio.sleep(1.0)
+                    fleet.store.remove(present.instance)
+                if restart_daemons:
+                    vm = f'vm{round_number + 1}'
+                    await fleet.kill(vm)
+                    await fleet.start(vm, retry_slack=1000.0)
+
+        traffic = await play(fleet, kind, during=replace_in_turn)
+        assert len(late_sends(sends, traffic)) <= MAX_LATE_SENDS
+        since = traffic.rule_start() + 2 * STABLE_SECONDS
+        assert traffic.sound_share(since) >= 0.99
+
+    run_fleet(main)
