--- a/corianderspar/platform/caller_format.py
+++ b/corianderspar/platform/caller_format.py
@@ -53,6 +53,7 @@
                 token_counts,
                 after_event,
                 prompt_parts=_prompt_parts(by_name),
+                begun_by=by_name.get(protocol.RESUMES, ''),
             )
         )
 
--- a/corianderspar/platform/protocol.py
+++ b/corianderspar/platform/protocol.py
@@ -19,6 +19,8 @@
 # belongs to the request itself or to its session.
 PROMPT_PARTS = 'x-prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# The request id of the attempt that brought the first event of a stream.
+RESUMES = 'resumes'
 STAGE = b'x-stage'
 # Address and handle of the KV cache that another engine has prefilled.
 KV_SOURCE = b'x-kv-from'
--- a/corianderspar/platform/store_values.py
+++ b/corianderspar/platform/store_values.py
@@ -81,6 +81,8 @@
     phase: str = ''
     # Unix milliseconds of the start of the process.
     born: int = 0
+    # Of its software, not of a model's weights.
+    version: str = ''
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -162,6 +164,7 @@
             _READY_BY_STATE[registration.state],
             registration.slots,
             registration.born,
+            registration.version,
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DecodeError(str(error)) from error
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -292,6 +292,8 @@
                 home=reservation.home,
                 prompt=token_counts.prompt,
                 expected=token_counts.expected_output,
+                after=context.request.after_event,
+                begun_by=context.request.begun_by or '-',
                 most=token_counts.max_output,
                 waited=f'{waited:.3f}',
                 store_age=f'{self._store_view.staleness():.2f}',
@@ -545,7 +547,7 @@
                 reason = f'no event for {SILENCE_SECONDS:.1f} s'
                 self._log_stream(
                     context,
-                    engine.instance,
+                    engine,
                     run.began,
                     began_after,
                     parser,
@@ -770,7 +772,7 @@
         search: failover.Failover[_Run],
     ) -> _RoundResult:
         """Pass the answer on event by event."""
-        engine = run.prepared.engine.instance
+        engine = run.prepared.engine
         began = self._app.clock.monotonic()
         resumed_after = parser.last
         context.stage = 'streaming'
@@ -813,9 +815,10 @@
             return _RoundResult(True)
         reason = reason or 'ended within an event'
         self._log_stream(context, engine, began, resumed_after, parser, reason)
-        self._placement.report(run.prepared.reservation, 'silent', engine)
+        instance = engine.instance
+        self._placement.report(run.prepared.reservation, 'silent', instance)
         parser.discard_incomplete()
-        return _RoundResult(False, reason, engine, is_crash)
+        return _RoundResult(False, reason, instance, is_crash)
 
     def _call_options(
         self, context: request_context.RequestContext, after_event: int | None
@@ -878,7 +881,7 @@
     def _log_stream(
         self,
         context: request_context.RequestContext,
-        engine: str,
+        engine: model.Upstream,
         began: float,
         resumed_after: int | None,
         parser: event_stream.EventParser,
@@ -888,7 +891,8 @@
         self._app.events.add(
             'request.streamed',
             request=context.request.request_id,
-            upstream=engine,
+            upstream=engine.instance,
+            version=engine.version,
             after=resumed_after,
             last=parser.last,
             seconds=f'{now - began:.3f}',
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -275,6 +275,8 @@
         Whether such a request crashes prefill engines, too.
     crash_times : list of float
         When upstreams crashed, seconds of the event loop.
+    versions_by_instance : dict of str to str
+        Software versions that differ from those registered.
     down_seconds : float
         Time from a crash until the upstream is back as a new instance; it is
         registered under that name only then.
@@ -298,6 +300,7 @@
         self._ended_instances: set[str] = set()
         self._restarts: set[asyncio.Task[None]] = set()
         self.behaviours_by_instance: dict[str, Behaviour] = {}
+        self.versions_by_instance: dict[str, str] = {}
         self.default_behaviour = Behaviour()
         self.calls: list[RecordedCall] = []
         self.released_handles: list[str] = []
@@ -318,6 +321,12 @@
             upstream.instance, self.default_behaviour
         )
 
+    def version(self, upstream: model.Upstream) -> str:
+        """Return the software version that an upstream runs."""
+        return self.versions_by_instance.get(
+            upstream.instance, upstream.version
+        )
+
     def is_down(self, upstream: model.Upstream) -> bool:
         """Return whether nothing listens at an upstream's address."""
         return upstream.address in self._down_addresses
@@ -521,7 +530,7 @@
             return
         for number in range(self._last_event + 1, self._behaviour.events + 1):
             await self._wait(self._behaviour.event_interval)
-            yield f'id: {number}\ndata: {self._request.target}\n\n'.encode()
+            yield self._event(number)
             if number == self._behaviour.breaks_after:
                 while self._behaviour.stray:
                     await self._wait(self._behaviour.event_interval)
@@ -532,6 +541,12 @@
             if number == self._behaviour.silent_after:
                 await self._wait(self._behaviour.silence)
 
+    def _event(self, number: int) -> bytes:
+        """Return an event; its data names the version, if there is one."""
+        version = self._upstreams.version(self._upstream)
+        data = f'{self._request.target} {version}'.rstrip()
+        return f'id: {number}\ndata: {data}\n\n'.encode()
+
     async def read(self, max_bytes: int) -> bytes:
         """Return the whole body."""
         self._upstreams.read_answers += 1
@@ -555,7 +570,9 @@
     """Callers' HTTP format; implements `edge.CallerFormat`.
 
     The headers id, key, time, sizes and parts hold the request id, the API
-    key, the timeout in seconds, the token counts and the parts of the prompt.
+    key, the timeout in seconds, the token counts and the parts of the prompt;
+    after and begun_by hold the last event of a stream that is taken up, and
+    the attempt that began it.
     """
 
     def read_head(
@@ -580,8 +597,9 @@
                 by_name.get('key', ''),
                 float(by_name.get('time', '10')),
                 token_counts,
-                None,
+                int(by_name['after']) if 'after' in by_name else None,
                 prompt_parts=tuple(by_name.get('parts', '').split(',')[:-1]),
+                begun_by=by_name.get('begun_by', ''),
             )
         )
 
--- a/corianderspar/router/model.py
+++ b/corianderspar/router/model.py
@@ -227,6 +227,9 @@
     started_ms : int
         Unix milliseconds of the start of the process, which tells apart two
         processes that use the same instance; 0 if unknown.
+    version : str
+        Version of the software that the process runs; empty if it states
+        none. Two versions do not continue each other's answers.
     """
 
     instance: str
@@ -238,6 +241,7 @@
     ready: bool
     slots: int
     started_ms: int = 0
+    version: str = ''
 
     @property
     def address(self) -> str:
@@ -294,6 +298,9 @@
     prompt_parts : tuple of str
         Identifiers of the parts of the prompt that other requests may share,
         in order; the last part, which is the request's own, is left out.
+    begun_by : str
+        Identifier of the attempt that brought the first event of the stream
+        that this one takes up; empty if the caller names none.
     """
 
     request_id: str
@@ -308,3 +315,4 @@
     after_event: int | None
     body: bytes = b''
     prompt_parts: tuple[str, ...] = ()
+    begun_by: str = ''
--- a/corianderspar/router/registrations.py
+++ b/corianderspar/router/registrations.py
@@ -261,6 +261,7 @@
                 phase=upstream.phase.value,
                 ready=upstream.ready,
                 started_ms=upstream.started_ms,
+                version=upstream.version,
                 revision=revision,
             )
 
--- a/corianderspar/router/state_messages.py
+++ b/corianderspar/router/state_messages.py
@@ -2,6 +2,7 @@
 
 Daemons of the build before eras of the store reject fields that they do not
 know. What they know is sent in a form of its own, and the rest beside it.
+Later additions are in further parts, which builds that lack them ignore.
 """
 
 from typing import NamedTuple
@@ -144,10 +145,13 @@
 
     content: bytes
     extension: bytes = b''
+    # Software versions by instance, for upstreams that state one.
+    versions: bytes = b''
 
 
 _BASE_DECODER = msgspec.msgpack.Decoder(_BaseReply)
 _EXTENSION_DECODER = msgspec.msgpack.Decoder(_Extension)
+_VERSIONS_DECODER = msgspec.msgpack.Decoder(dict[str, str])
 
 
 def encode(reply: StateReply) -> EncodedStateReply:
@@ -179,8 +183,15 @@
             if registration.upstream and registration.upstream.started_ms
         },
     )
+    versions = {
+        registration.instance: registration.upstream.version
+        for registration in reply.registrations
+        if registration.upstream and registration.upstream.version
+    }
     return EncodedStateReply(
-        msgspec.msgpack.encode(base), msgspec.msgpack.encode(extension)
+        msgspec.msgpack.encode(base),
+        msgspec.msgpack.encode(extension),
+        msgspec.msgpack.encode(versions),
     )
 
 
@@ -197,6 +208,9 @@
     if encoded.extension:
         extension = _EXTENSION_DECODER.decode(encoded.extension)
     started_ms = extension.started_ms_by_instance
+    versions: dict[str, str] = {}
+    if encoded.versions:
+        versions = _VERSIONS_DECODER.decode(encoded.versions)
     return StateReply(
         store.Position(extension.era, base.revision),
         base.staleness,
@@ -209,7 +223,9 @@
                 entry.instance,
                 entry.revision,
                 model.Upstream(
-                    *entry.upstream, started_ms.get(entry.instance, 0)
+                    *entry.upstream,
+                    started_ms.get(entry.instance, 0),
+                    versions.get(entry.instance, ''),
                 )
                 if entry.upstream
                 else None,
--- a/tests/platform/test_caller_format.py
+++ b/tests/platform/test_caller_format.py
@@ -26,6 +26,7 @@
         ('x-token-count', '1460,80'),
         ('x-length-hint', '40'),
         ('last-event-id', '12'),
+        ('resumes', 'r0'),
         ('x-model', 'm'),
     ).ok
     assert request.target == '/a/b%20c?q=1'
@@ -38,6 +39,7 @@
         request.token_counts.expected_output == 40
         and request.after_event == 12
     )
+    assert request.begun_by == 'r0'
     assert (b'x-model', b'm') in request.headers
 
 
--- a/tests/platform/test_store_values.py
+++ b/tests/platform/test_store_values.py
@@ -73,11 +73,16 @@
     assert upstream == model.Upstream(
         'i-1', 's', '10.0.0.1', 80, 'z', model.Phase.PLAIN, True, 6
     )
-    draining = REGISTRATION | {'state': 'draining', 'phase': 'decode'}
+    draining = REGISTRATION | {
+        'state': 'draining',
+        'phase': 'decode',
+        'version': 'v1.2',
+    }
     upstream = store_values.decode_upstream(
         'i-1', json.dumps(draining).encode()
     )
     assert not upstream.ready and upstream.phase is model.Phase.DECODE
+    assert upstream.version == 'v1.2'
 
 
 @pytest.mark.parametrize(
@@ -91,6 +96,7 @@
         json.dumps(REGISTRATION | {'addr': 'nowhere'}).encode(),
         json.dumps(REGISTRATION | {'phase': 'both'}).encode(),
         json.dumps(REGISTRATION | {'slots': 'many'}).encode(),
+        json.dumps(REGISTRATION | {'version': 2}).encode(),
     ],
 )
 def test_malformed_registration_is_rejected(data):
--- a/tests/router/test_state_messages.py
+++ b/tests/router/test_state_messages.py
@@ -49,7 +49,7 @@
     can_read_store: bool = False
 
 
-UPSTREAM = system.upstream('s1')._replace(started_ms=1000)
+UPSTREAM = system.upstream('s1')._replace(started_ms=1000, version='v2')
 REPLY = state_messages.StateReply(
     store.Position(3, 40),
     0.5,
