--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -277,6 +277,8 @@
         When upstreams crashed, seconds of the event loop.
     versions_by_instance : dict of str to str
         Software versions that differ from those registered.
+    started_ms_by_instance : dict of str to int
+        Starts of processes that differ from those registered.
     down_seconds : float
         Time from a crash until the upstream is back as a new instance; it is
         registered under that name only then.
@@ -301,6 +303,7 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.behaviours_by_instance: dict[str, Behaviour] = {}
         self.versions_by_instance: dict[str, str] = {}
+        self.started_ms_by_instance: dict[str, int] = {}
         self.default_behaviour = Behaviour()
         self.calls: list[RecordedCall] = []
         self.released_handles: list[str] = []
@@ -342,6 +345,17 @@
             or not self.poison_parts.isdisjoint(request.prompt_parts)
         )
 
+    def replace(
+        self, upstream: model.Upstream, returned: model.Upstream
+    ) -> None:
+        """End an upstream, which is back at once as another process.
+
+        The new process has the same instance; it is not registered.
+        """
+        self.versions_by_instance[upstream.instance] = returned.version
+        self.started_ms_by_instance[upstream.instance] = returned.started_ms
+        self.reset(upstream)
+
     def reset(self, upstream: model.Upstream) -> None:
         """Break all connections to an upstream, which goes on running."""
         interrupted = self._interrupted_by_instance.pop(
