--- a/corianderspar/platform/protocol.py
+++ b/corianderspar/platform/protocol.py
@@ -74,6 +74,7 @@
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
 KV_HANDLE_PATH = '/-/kv-handle/'
+REPORT_PATH = '/-/report'
 READY_PATH = '/-/ready'
 
 SETTINGS_VARIABLE = 'CORIANDERSPAR_CONFIG'
--- a/corianderspar/platform/upstream_calls.py
+++ b/corianderspar/platform/upstream_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import re
+from typing import Any
 
 from expression import Error
 from expression import Ok
@@ -31,6 +32,11 @@
     version: int = 0
 
 
+class _Report(msgspec.Struct):
+    # Unix milliseconds of the start of the process.
+    born: int = 0
+
+
 class HttpAnswer:
     """An answer whose head has arrived; implements `upstreams.Answer`."""
 
@@ -90,6 +96,33 @@
             )
         return Ok(None)
 
+    async def started_ms(
+        self, upstream: model.Upstream
+    ) -> Result[int, upstreams.Failure]:
+        """Return when the process at an upstream's address started."""
+        http_request = connections.Request(
+            'GET',
+            protocol.REPORT_PATH,
+            (
+                (b'host', upstream.address.encode()),
+                (protocol.EXPECT_INSTANCE, upstream.instance.encode()),
+            ),
+        )
+        try:
+            response = await self._pool.send(
+                upstream.host, upstream.port, http_request, upstream.instance
+            )
+            async with response:
+                body = await response.read(MAX_SHORT_BODY_BYTES)
+            if response.status != 200:
+                return _broken(f'status {response.status}')
+            report = msgspec.json.decode(body, type=_Report)
+        except connections.UpstreamError as error:
+            return _broken(error.detail)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return _broken(f'report: {error}')
+        return Ok(report.born)
+
     async def run(
         self,
         upstream: model.Upstream,
@@ -267,7 +300,5 @@
     )
 
 
-def _broken(
-    detail: str,
-) -> Result[upstreams.PrefillHandle, upstreams.Failure]:
+def _broken(detail: str) -> Result[Any, upstreams.Failure]:
     return Error(upstreams.Failure(upstreams.Fault.BROKEN, detail))
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -30,6 +30,7 @@
 SHUTDOWN_WAIT_SECONDS = 1.0  # for engines, while this daemon shuts down
 HOLD_REUSE_SHARE = 0.6  # of a prompt's hold time, for a retry to fetch it
 RELEASE_TIMEOUT_SECONDS = 1.0  # for an engine to free a KV cache
+PROCESS_CHECK_SECONDS = 0.3  # for an engine to tell which process it is
 
 
 class _Prefilled(NamedTuple):
@@ -273,6 +274,7 @@
             is_prefilled,
             context.is_retry,
             has_begun,
+            context.origin.version if context.origin else None,
         )
         waited = self._app.clock.monotonic() - now
         if isinstance(reservation, scheduler.Refusal):
@@ -339,7 +341,9 @@
             if prefill_engine is None:
                 reason = 'prefill engine unknown'
                 return _RoundResult(False, reason, reservation.grant.prefill)
-            refused = self._refuse_unusable(context, prefill_engine, None)
+            refused = self._refuse_unusable(
+                context, prefill_engine, None
+            ) or self._refuse_other_version(context, decode_engine, None)
             if refused is not None:
                 return refused
             connect_failure = await self._connect(
@@ -354,7 +358,11 @@
             if isinstance(prefill_result, _RoundResult):
                 return prefill_result
             prefilled = prefill_result
-        refused = self._refuse_unusable(context, decode_engine, prefilled)
+        refused = self._refuse_unusable(
+            context, decode_engine, prefilled
+        ) or await self._refuse_other_process(
+            context, decode_engine, prefilled
+        )
         if refused is not None:
             return refused
         try:
@@ -383,6 +391,15 @@
         reason = self._notices.refusal_reason(engine)
         if not reason:
             return None
+        return self._not_sent(context, engine, reason, prefilled)
+
+    def _not_sent(
+        self,
+        context: request_context.RequestContext,
+        engine: model.Upstream,
+        reason: str,
+        prefilled: _Prefilled | None,
+    ) -> _RoundResult:
         self._app.events.add(
             'request.not_sent',
             request=context.request.request_id,
@@ -393,6 +410,65 @@
             False, reason, engine.instance, prefilled=prefilled
         )
 
+    def _refuse_other_version(
+        self,
+        context: request_context.RequestContext,
+        engine: model.Upstream,
+        prefilled: _Prefilled | None,
+    ) -> _RoundResult | None:
+        """Return the end of a round if an engine may not go on the stream.
+
+        The home that granted it may know another process of that instance.
+        """
+        if context.may_go_on_at(engine):
+            return None
+        reason = f'{engine.version!r} does not go on {context.origin}'
+        return self._not_sent(context, engine, reason, prefilled)
+
+    async def _refuse_other_process(
+        self,
+        context: request_context.RequestContext,
+        engine: model.Upstream,
+        prefilled: _Prefilled | None,
+    ) -> _RoundResult | None:
+        """Return the end of a round if an engine may have been replaced.
+
+        An engine may return under its instance at another version, and take
+        requests before the store lists its new process here.
+        """
+        by_instance = self._store_view.upstreams_by_instance
+        present = by_instance.get(engine.instance, engine)
+        refused = self._refuse_other_version(context, present, prefilled)
+        if (
+            refused is not None
+            or context.origin is None
+            or not engine.started_ms
+            or not self._may_be_replaced(engine)
+        ):
+            return refused
+        try:
+            async with asyncio.timeout(PROCESS_CHECK_SECONDS):
+                found = await self._calls.started_ms(engine)
+        except TimeoutError:
+            return self._not_sent(context, engine, 'no report', prefilled)
+        if found.is_error():
+            reason = f'no report: {found.error.detail}'
+            return self._not_sent(context, engine, reason, prefilled)
+        if found.ok != engine.started_ms:
+            reason = f'process of {found.ok}, expected {engine.started_ms}'
+            return self._not_sent(context, engine, reason, prefilled)
+        return None
+
+    def _may_be_replaced(self, engine: model.Upstream) -> bool:
+        """Return whether another version may run where an engine did."""
+        if self._store_view.staleness() > store_view.STALE_SECONDS:
+            return True
+        return any(
+            other.version != engine.version
+            for other in self._store_view.upstreams_by_instance.values()
+            if other.service == engine.service
+        )
+
     async def _connect(
         self,
         context: request_context.RequestContext,
@@ -791,6 +867,10 @@
                     continue  # bytes that end no event do not end the silence
                 search.end_wait()
                 self._clear_suspicion(run)
+                if context.origin is None:
+                    context.origin = model.StreamOrigin(
+                        engine.service, engine.version
+                    )
                 if not context.exchange.status:
                     now = self._app.clock.monotonic()
                     self._telemetry.observe_first_event(now - context.arrived)
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -429,6 +429,19 @@
             )
         return Ok(None)
 
+    async def started_ms(
+        self, upstream: model.Upstream
+    ) -> Result[int, upstreams.Failure]:
+        """Return the start of the process that an upstream runs now."""
+        connected = await self.connect(upstream)
+        if connected.is_error():
+            return Error(connected.error)
+        return Ok(
+            self._upstreams.started_ms_by_instance.get(
+                upstream.instance, upstream.started_ms
+            )
+        )
+
     async def run(
         self,
         upstream: model.Upstream,
--- a/corianderspar/router/model.py
+++ b/corianderspar/router/model.py
@@ -249,6 +249,21 @@
         return f'{self.host}:{self.port}'
 
 
+class StreamOrigin(NamedTuple):
+    """What began a stream, and alone may go on with it.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    version : str
+        Software version of the upstream, as in `Upstream`.
+    """
+
+    service: str
+    version: str
+
+
 class TokenCounts(NamedTuple):
     """Token counts of an engine request.
 
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -48,6 +48,8 @@
         Instances that failed this request.
     is_prefilled, is_retry, has_partial_answer : bool
         As in `scheduler.Job`.
+    version : str or None
+        As in `scheduler.Job`.
     """
 
     service: str
@@ -62,6 +64,7 @@
     is_prefilled: bool = False
     is_retry: bool = False
     has_partial_answer: bool = False
+    version: str | None = None
 
 
 class JobDecision(NamedTuple):
@@ -195,6 +198,7 @@
         is_prefilled: bool = False,
         is_retry: bool = False,
         has_partial_answer: bool = False,
+        version: str | None = None,
     ) -> HeldReservation | scheduler.Refusal:
         """Reserve engines for a request, waiting in the home's backlog.
 
@@ -213,6 +217,8 @@
             Instances that failed this request.
         is_prefilled, is_retry, has_partial_answer : bool
             As in `scheduler.Job`.
+        version : str or None
+            As in `scheduler.Job`.
         """
         self._last_number += 1
         job_id = f'{self._app.incarnation}/{self._last_number}'
@@ -229,6 +235,7 @@
             is_prefilled,
             is_retry,
             has_partial_answer,
+            version,
         )
         home = self.home(service)
         future: asyncio.Future[JobDecision] = (
@@ -428,6 +435,7 @@
             request.is_prefilled,
             request.is_retry,
             request.has_partial_answer,
+            request.version,
         )
         decision = service_scheduler.submit(job, now)
         if decision is None:
--- a/corianderspar/router/request_context.py
+++ b/corianderspar/router/request_context.py
@@ -114,6 +114,9 @@
         and error messages.
     engine_run : UpstreamRun or None
         The send to a decode engine whose answer is passed on.
+    origin : StreamOrigin or None
+        What began the stream, once its caller has an event of it. Only an
+        upstream of the same service and version may go on with it.
     crash_checks : set of Task
         Find out whether upstreams of earlier sends crashed.
     probed : tuple of str
@@ -141,6 +144,7 @@
         self.stage = 'admitted'
         self.upstream = ''
         self.engine_run: UpstreamRun | None = None
+        self.origin: model.StreamOrigin | None = None
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.probed: tuple[str, ...] = ()
 
@@ -166,6 +170,13 @@
             poison.SUSPECT_PREFIX + self.fingerprint,
         )
 
+    def may_go_on_at(self, upstream: model.Upstream) -> bool:
+        """Return whether an upstream may send the next events."""
+        return self.origin in (
+            None,
+            model.StreamOrigin(upstream.service, upstream.version),
+        )
+
     @property
     def is_retry(self) -> bool:
         """Whether the caller was refused before.
--- a/corianderspar/router/scheduler.py
+++ b/corianderspar/router/scheduler.py
@@ -21,6 +21,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import math
 from typing import NamedTuple
 from typing import Protocol
@@ -89,6 +90,8 @@
     has_partial_answer : bool
         Whether the caller already has a part of the answer. Such a job is
         refused only when its deadline cannot be met.
+    version : str or None
+        Software version of which the decode engine has to be; None for any.
     output_tokens : int
         Length of the answer as the scheduler predicts it.
     """
@@ -106,6 +109,7 @@
     is_prefilled: bool = False
     is_retry: bool = False
     has_partial_answer: bool = False
+    version: str | None = None
     output_tokens: int = 0
 
     @property
@@ -241,6 +245,7 @@
         job.prompt_tokens >= failed.prompt_tokens
         and job.output_tokens >= failed.output_tokens
         and set(failed.excluded) <= set(job.excluded)
+        and failed.version in (None, job.version)
     )
 
 
@@ -320,6 +325,7 @@
         self.reservations_by_id: dict[str, Reservation] = {}
         self.prefill_rate = PREFILL_TOKENS_PER_SECOND
         self._engines_by_instance: dict[str, model.Upstream] = {}
+        self._decode_versions: frozenset[str] = frozenset()
         self._backlog_by_id: dict[str, Job] = {}
         self._external_loads_by_owner: dict[str, dict[str, Load]] = {}
         self._avoided_until_by_instance: dict[str, float] = {}
@@ -335,6 +341,9 @@
     def set_engines(self, engines: list[model.Upstream]) -> None:
         """Replace the engines that may get jobs."""
         self._engines_by_instance = {e.instance: e for e in engines}
+        self._decode_versions = frozenset(
+            engine.version for engine in self._decode_engines()
+        )
         for instance in list(self._failures_by_instance):
             if instance not in self._engines_by_instance:
                 del self._failures_by_instance[instance]
@@ -372,13 +381,21 @@
         output_tokens = round(self._output_lengths.predict(job.length_hint))
         job = job._replace(output_tokens=output_tokens)
         if not self._usable_decode_engines(job, now, ignore_avoided=True):
-            return Refusal(RETRY_NO_ENGINE_SECONDS, 'no engine')
+            reason = 'no engine'
+            if job.version is not None:
+                reason = f'no engine of version {job.version!r}'
+            return Refusal(RETRY_NO_ENGINE_SECONDS, reason)
         if not any(self._fits(e, job) for e in self._decode_engines()):
             return Refusal(RETRY_MAX_SECONDS, 'larger than an engine')
         if self._misses_deadline(job, now):
             return Refusal(self._retry_after(job, now), 'no room in time')
         if not self._is_preceded(job, now):
-            grant = self._place(job, now, self._uses_by_instance(now))
+            grant = self._place(
+                job,
+                now,
+                self._uses_by_instance(now),
+                self._reserved_versions(self._backlog_by_id.values()),
+            )
             if grant is not None:
                 return grant
         wait = self.expected_wait(job, now)
@@ -403,7 +420,9 @@
                 )
                 continue
             if not any(_needs_as_much(job, other) for other in failed):
-                grant = self._place(job, now, uses_by_instance)
+                grant = self._place(
+                    job, now, uses_by_instance, self._reserved_versions(failed)
+                )
                 if grant is not None:
                     del self._backlog_by_id[job.job_id]
                     decisions.append((job, grant))
@@ -515,7 +534,8 @@
         ahead = sum(
             other.kv_tokens
             for other in self._backlog_by_id.values()
-            if self._sort_key(other, now) <= self._sort_key(job, now)
+            if self._competes(other, job)
+            and self._sort_key(other, now) <= self._sort_key(job, now)
         )
         return max(
             (ahead + job.kv_tokens) / self._freed_tokens_per_second(job, now),
@@ -535,7 +555,8 @@
         if total <= 0.0:
             return RETRY_MAX_SECONDS
         ahead = sum(
-            self._sort_key(other, now) <= self._sort_key(job, now)
+            self._competes(other, job)
+            and self._sort_key(other, now) <= self._sort_key(job, now)
             for other in self._backlog_by_id.values()
         )
         return (ahead + 1) / total
@@ -578,13 +599,39 @@
         """Return whether a job of the backlog goes before this one."""
         key = self._sort_key(job, now)
         return any(
-            self._sort_key(other, now) < key
+            self._competes(other, job) and self._sort_key(other, now) < key
             for other in self._backlog_by_id.values()
         )
 
-    def _sort_key(self, job: Job, now: float) -> tuple[bool, int, float]:
+    def _required_version(self, job: Job) -> str | None:
+        """Return the version of engine that a job waits for.
+
+        Returns
+        -------
+        str or None
+            None if any engine will do, as while all are of its version.
+        """
+        if self._decode_versions == {job.version}:
+            return None
+        return job.version
+
+    def _competes(self, job: Job, other: Job) -> bool:
+        """Return whether two jobs of the backlog wait for the same engines.
+
+        Engines of a version that a job requires are kept for it, so it does
+        not wait for jobs that any engine may run, nor do these wait for it.
+        """
+        return self._required_version(job) == self._required_version(other)
+
+    def _reserved_versions(self, waiting: Iterable[Job]) -> set[str]:
+        """Return the versions whose engines only jobs that need them get."""
+        required = map(self._required_version, waiting)
+        return {version for version in required if version is not None}
+
+    def _sort_key(self, job: Job, now: float) -> tuple[bool, bool, int, float]:
         is_late = self._misses_objective(job, now)
         return (
+            self._required_version(job) is None,
             is_late,
             job.priority,
             job.deadline if is_late else job.objective_deadline,
@@ -617,6 +664,7 @@
             engine
             for engine in self._decode_engines()
             if engine.instance not in job.excluded
+            and job.version in (None, engine.version)
             and (ignore_avoided or not self._is_avoided(engine, now))
         ]
 
@@ -666,6 +714,7 @@
         job: Job,
         now: float,
         uses_by_instance: dict[str, list[MemoryUse]],
+        reserved_versions: set[str],
     ) -> Grant | None:
         """Reserve engines for a job if there are any.
 
@@ -677,6 +726,8 @@
             Seconds on the scheduler's clock.
         uses_by_instance : dict of str to list of MemoryUse
             Memory uses by decode engine; the one of the job is added.
+        reserved_versions : set of str
+            Versions whose engines other jobs of the backlog wait for.
         """
         share = (
             LATE_MEMORY_SHARE
@@ -689,6 +740,8 @@
         for engine in self._usable_decode_engines(
             job, now, ignore_avoided=False
         ):
+            if job.version is None and engine.version in reserved_versions:
+                continue
             uses = uses_by_instance.get(engine.instance, [])
             if len(uses) >= self.limits.slots:
                 continue
--- a/corianderspar/router/upstreams.py
+++ b/corianderspar/router/upstreams.py
@@ -184,6 +184,15 @@
         """Connect unless a kept connection is open; send no request."""
         ...
 
+    async def started_ms(
+        self, upstream: model.Upstream
+    ) -> Result[int, Failure]:
+        """Return when the process at an upstream's address started.
+
+        Unix milliseconds, as in `model.Upstream`; 0 if it does not tell.
+        """
+        ...
+
     async def run(
         self,
         upstream: model.Upstream,
