--- a/corianderspar/rendezvous.py
+++ b/corianderspar/rendezvous.py
@@ -37,6 +37,39 @@
     )
 
 
+def is_among_first(
+    key: str, member: str, members: Iterable[str], count: int
+) -> bool:
+    """Return whether a member is one of the first in the rank of a key.
+
+    Cheaper than `rank`, as it stops at the first members that precede it.
+
+    Parameters
+    ----------
+    key, members : str, iterable of str
+        As in `rank`.
+    member : str
+        Need not be one of the members.
+    count : int
+        Size of the group in question.
+
+    Examples
+    --------
+    >>> members = ['vm1', 'vm2', 'vm3']
+    >>> ranked = rank('account/parish', members)
+    >>> [is_among_first('account/parish', m, members, 2) for m in ranked]
+    [True, True, False]
+    """
+    weight = xxhash.xxh3_64_intdigest(f'{key}\0{member}'.encode())
+    preceding = 0
+    for other in members:
+        if xxhash.xxh3_64_intdigest(f'{key}\0{other}'.encode()) > weight:
+            preceding += 1
+            if preceding >= count:
+                return False
+    return True
+
+
 def home(key: str, members: Iterable[str]) -> str | None:
     """Return the home of a key, or None if there are no members."""
     return max(
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -15,6 +15,7 @@
 from corianderspar.router import retries
 from corianderspar.router import store
 from corianderspar.router import store_view
+from corianderspar.router import stream_origins
 from corianderspar.router import telemetry
 from corianderspar.router import token_buckets
 from corianderspar.router import upstream_notices
@@ -95,6 +96,9 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         ),
         quarantine.Quarantine(adapters.calls),
+        stream_origins.StreamOrigins(
+            bounds.start_policy is store_view.StartPolicy.PEERS_AT_FIRST_START
+        ),
         rate_limiter.RateLimiter(bounds.limit_tolerance),
         telemetry.Telemetry(),
         engine_calls.EngineCalls(adapters.calls),
--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -22,6 +22,7 @@
 from corianderspar.router import rate_limiter
 from corianderspar.router import request_context
 from corianderspar.router import store_view
+from corianderspar.router import stream_origins
 from corianderspar.router import telemetry
 
 ERROR_MARGIN_SECONDS = 0.05  # before the deadline, to send an error answer
@@ -78,6 +79,7 @@
         'beliefs',
         'engine_calls',
         'plain_calls',
+        'stream_origins',
         'telemetry',
     )
 
@@ -104,6 +106,9 @@
         self._plain_calls = app.find('plain_calls', plain_calls.PlainCalls)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._rate_limiter = app.find('allowance', rate_limiter.RateLimiter)
+        self._origins = app.find(
+            'stream_origins', stream_origins.StreamOrigins
+        )
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -179,7 +184,8 @@
         ------
         RequestError
             If the body is too large or too slow, no route or account
-            matches, or the account is over its rate.
+            matches, a stream that it takes up can't go on, or the account is
+            over its rate.
         """
         body = await exchange.read_body(
             self._store_view.limits.body_bytes, BODY_TIMEOUT_SECONDS
@@ -205,15 +211,64 @@
         context = request_context.RequestContext(
             exchange, request, matched, arrived
         )
+        if request.after_event is not None and matched.route.streaming:
+            await self._bind(context)
         await self._charge(context)
         return context
 
-    def _match(
-        self, request: model.CallerRequest
-    ) -> request_context.RouteMatch:
+    async def _bind(self, context: request_context.RequestContext) -> None:
+        """Bind a request to what began the stream that it takes up.
+
+        Raises
+        ------
+        RequestError
+            If nobody knows it, or the route does not allow its service now.
+        """
+        lookup = await self._origins.find(context)
+        origin = lookup.origin
+        if origin is None:
+            retry_after = None
+            if not lookup.has_asked_all:
+                retry_after = request_context.DEFAULT_RETRY_SECONDS
+            raise request_context.RequestError(
+                problems.Problem(
+                    'stream_unknown',
+                    503,
+                    'no',
+                    'nobody knows which version began the stream',
+                    retry_after,
+                )
+            )
+        matched = context.matched
+        weights = matched.route.weights_by_service
+        services_by_name = self._require_configuration().services_by_name
+        if (
+            weights.get(origin.service, 0.0) <= 0.0
+            or origin.service not in services_by_name
+        ):
+            raise request_context.RequestError(
+                problems.Problem(
+                    'stream_moved',
+                    503,
+                    'no',
+                    f'route {matched.route.name!r} has no service '
+                    f'{origin.service!r}, which began the stream',
+                )
+            )
+        service = services_by_name[origin.service]
+        context.matched = matched._replace(service=service)
+        context.origin = origin
+
+    def _require_configuration(self) -> model.Configuration:
         config = self._store_view.configuration
         if config is None:
             raise _request_error('starting', 503, 'no configuration yet')
+        return config
+
+    def _match(
+        self, request: model.CallerRequest
+    ) -> request_context.RouteMatch:
+        config = self._require_configuration()
         route = config.route(request.host, request.path)
         if route is None:
             raise _request_error('no_route', 404, 'no route for this path')
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -16,6 +16,7 @@
 from corianderspar.router import retries
 from corianderspar.router import scheduler
 from corianderspar.router import store_view
+from corianderspar.router import stream_origins
 from corianderspar.router import telemetry
 from corianderspar.router import upstream_notices
 from corianderspar.router import upstreams
@@ -128,6 +129,7 @@
         'placement',
         'quarantine',
         'retries',
+        'stream_origins',
         'telemetry',
     )
 
@@ -143,6 +145,9 @@
         self._retry_budgets = app.find('retries', retries.RetryBudgets)
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._notices = app.find('notices', upstream_notices.UpstreamNotices)
+        self._origins = app.find(
+            'stream_origins', stream_origins.StreamOrigins
+        )
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -872,6 +877,7 @@
                         engine.service, engine.version
                     )
                 if not context.exchange.status:
+                    await self._origins.record(context)
                     now = self._app.clock.monotonic()
                     self._telemetry.observe_first_event(now - context.arrived)
                     await context.exchange.begin(200, answer.headers)
--- a/corianderspar/router/membership.py
+++ b/corianderspar/router/membership.py
@@ -147,6 +147,9 @@
     on_ended : list of callable
         Hooks called with an incarnation once a later one of its VM replaced
         it or it was silent for `FORGET_SECONDS`.
+    on_heard : list of callable
+        Hooks called with the VM of a daemon that has started, or is alive
+        again.
     extra_targets : list of callable
         Hooks that return VMs to which each heartbeat goes in addition to the
         peers whose turn it is.
@@ -161,6 +164,7 @@
         self.seeds = seeds
         self.leaving = False
         self.on_ended: list[Callable[[str], None]] = []
+        self.on_heard: list[Callable[[str], None]] = []
         self.extra_targets: list[Callable[[], set[str]]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._address = address
@@ -444,6 +448,9 @@
         if is_new:
             # Otherwise it learns of this daemon only an interval later.
             self._peers.tell(sender.vm, self._make_heartbeat(sender.vm))
+        if is_new or not was_alive:
+            for hook in self.on_heard:
+                hook(sender.vm)
         if not heartbeat.receives_from_peer and not is_new:
             self._open_new_connection(sender.vm, now)
         for known_peer in heartbeat.known_peers:
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -194,6 +194,11 @@
         """Monotonic seconds of the last verification; -inf for never."""
         return self._verification.verified_at
 
+    @property
+    def continuous_since(self) -> float:
+        """As in `verification.Verification`."""
+        return self._verification.continuous_since
+
     @property
     def limits(self) -> model.CallerLimits:
         """The operator's limits, or defaults before a configuration."""
--- /dev/null
+++ b/corianderspar/router/stream_origins.py
@@ -0,0 +1,424 @@
+"""What began each stream, as several daemons know it.
+
+The caller of a stream that broke off may take it up at any daemon, while the
+one that began it is killed, cut off or busy. Before the first event reaches
+the caller, a daemon therefore tells a few peers, the keepers, which follow
+from the content of the request by rendezvous hashing. A daemon at which the
+stream is taken up asks the peers that may be keepers. Keepers that restart
+are told anew.
+
+A caller names the attempt that began the stream. For one that names none, the
+streams of the same content count, as long as they began at one version.
+
+If nobody that answers knows the stream, it goes on only if all upstreams that
+may have begun it are of one service and version.
+"""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import hashlib
+from typing import Any
+from typing import NamedTuple
+
+from corianderspar import kernel
+from corianderspar import peers
+from corianderspar import rendezvous
+from corianderspar.router import membership
+from corianderspar.router import model
+from corianderspar.router import origin_history
+from corianderspar.router import request_context
+from corianderspar.router import store_view
+
+KEEPERS = 3
+# Daemons that started since the stream began may rank before its keepers.
+ASKED_PEERS = 6
+ASKED_NEIGHBOURS = 2  # in the own data centre, which callers mostly keep to
+CONFIRM_SECONDS = 0.05  # for the first keeper to confirm
+ASK_SECONDS = 0.15  # for all keepers to reply
+# From the longest end of an attempt until the caller's next one.
+TAKE_UP_SECONDS = 10.0
+# Of its route's timeout: a stream that is taken up began no longer ago.
+MAX_AGE_TIMEOUTS = 2.0
+MAX_STREAMS = 16384  # each counts twice, by attempt and by content
+MAX_STREAMS_PER_MESSAGE = 256
+# Stands for streams of one key that began at different versions.
+AMBIGUOUS = model.StreamOrigin('', '')
+_CONTENT_PREFIX = 'content/'  # of the keys of streams by their content
+
+
+class StreamBegun(NamedTuple):
+    """Tells a keeper what began a stream.
+
+    Attributes
+    ----------
+    key : str
+        Digest of the client account and the attempt that began it.
+    content : str
+        Digest of the client account and the content of its requests.
+    service, version : str
+        As in `StreamOrigin`.
+    seconds : float
+        For which the keeper is to remember it.
+    """
+
+    key: str
+    content: str
+    service: str
+    version: str
+    seconds: float
+
+
+class StreamKept(NamedTuple):
+    """Confirms that a keeper knows a stream."""
+
+    key: str
+
+
+class StreamsBegun(NamedTuple):
+    """Tells a keeper that has restarted what it knew."""
+
+    streams: tuple[StreamBegun, ...]
+
+
+class OriginRequest(NamedTuple):
+    """Asks a peer what began a stream.
+
+    Attributes
+    ----------
+    key, content : str, str
+        As in `StreamBegun`; the key is empty if the caller names no attempt.
+    host, path : str
+        Of the stream's requests.
+    """
+
+    key: str
+    content: str
+    host: str
+    path: str
+
+
+class OriginReply(NamedTuple):
+    """What a peer knows of a stream; `service` and `version` only if so."""
+
+    is_known: bool
+    service: str = ''
+    version: str = ''
+
+
+class Lookup(NamedTuple):
+    """What this daemon found out about a stream.
+
+    Attributes
+    ----------
+    origin : StreamOrigin or None
+        None if it is not known.
+    has_asked_all : bool
+        Whether each peer that may know it has replied.
+    """
+
+    origin: model.StreamOrigin | None
+    has_asked_all: bool = True
+
+
+class _Entry(NamedTuple):
+    content: str
+    origin: model.StreamOrigin
+    expires_at: float
+
+
+class StreamOrigins:
+    """The service ``stream_origins``.
+
+    Parameters
+    ----------
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, so that no stream
+        began before.
+    """
+
+    name = 'stream_origins'
+    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs')
+
+    def __init__(self, is_first_start: bool) -> None:
+        self._is_first_start = is_first_start
+        self._entries_by_key: collections.OrderedDict[str, _Entry] = (
+            collections.OrderedDict()
+        )
+
+    async def start(self, app: kernel.Application) -> None:
+        """Begin to keep streams for peers."""
+        self._app = app
+        self._membership = app.find('fleet', membership.Membership)
+        self._store_view = app.find('beliefs', store_view.StoreView)
+        self._peers = app.find('peers', peers.Peers)
+        self._peers.handle('stream_begun', StreamBegun, self._on_begun)
+        self._peers.add_reply_type('stream_kept', StreamKept)
+        self._peers.handle('streams_begun', StreamsBegun, self._on_many_begun)
+        self._peers.handle('want_origin', OriginRequest, self._on_request)
+        self._peers.add_reply_type('origin', OriginReply)
+        self._membership.on_heard.append(self._remind)
+        self._history = origin_history.OriginHistory(
+            float('-inf') if self._is_first_start else app.clock.monotonic()
+        )
+        self._store_view.on_upstreams_change.append(self._observe_upstreams)
+        self._store_view.on_configuration_adopted.append(self._observe_routes)
+
+    async def stop(self) -> None:
+        """Do nothing: the keepers know what this daemon knows."""
+
+    async def record(self, context: request_context.RequestContext) -> None:
+        """Tell keepers what began a stream, before its caller has an event.
+
+        Returns once one of them has confirmed, or after `CONFIRM_SECONDS`.
+        """
+        route = context.matched.route
+        origin = context.origin
+        if origin is None or route.retry_policy is not (
+            model.RetryPolicy.RESUME
+        ):
+            return
+        began = self._app.clock.monotonic()
+        request = context.request
+        begun = StreamBegun(
+            _key(context.account, request.begun_by or request.request_id),
+            context.fingerprint,
+            *origin,
+            route.timeout + TAKE_UP_SECONDS,
+        )
+        self._keep(begun)
+        keepers = self._keepers(begun.content)
+        confirmed_by = '-'
+        async for vm, _reply in self._replies(keepers, begun, CONFIRM_SECONDS):
+            confirmed_by = vm
+            break
+        self._app.events.add(
+            'stream.begun',
+            request=request.request_id,
+            begun_by=request.begun_by or '-',
+            upstream=context.upstream,
+            service=origin.service,
+            version=origin.version,
+            told=len(keepers),
+            confirmed_by=confirmed_by,
+            seconds=f'{self._app.clock.monotonic() - began:.4f}',
+        )
+
+    async def find(self, context: request_context.RequestContext) -> Lookup:
+        """Find out what began a stream that a request takes up."""
+        began = self._app.clock.monotonic()
+        request = context.request
+        query = OriginRequest(
+            _key(context.account, request.begun_by)
+            if request.begun_by
+            else '',
+            context.fingerprint,
+            request.host,
+            request.path,
+        )
+        source = 'own'
+        origin = self._known(query)
+        asked: list[str] = []
+        replied = 0
+        if origin is None:
+            source = 'history'
+            # A caller that names no attempt does not speak of versions; it is
+            # served while this daemon knows only one.
+            origin = self._only_origin(
+                query, context.matched.route.timeout, bool(query.key)
+            )
+        if origin is None:
+            asked = self._possible_keepers(query.content)
+            async for vm, reply in self._replies(asked, query, ASK_SECONDS):
+                replied += 1
+                if reply.is_known:
+                    source = vm
+                    origin = model.StreamOrigin(reply.service, reply.version)
+                    break
+        if origin == AMBIGUOUS:
+            origin = None
+        self._app.events.add(
+            'stream.unknown' if origin is None else 'stream.found',
+            request=request.request_id,
+            begun_by=request.begun_by or '-',
+            after=request.after_event,
+            service=origin.service if origin else '-',
+            version=origin.version if origin else '-',
+            source=source if origin else '-',
+            asked=len(asked),
+            replied=replied,
+            store_age=f'{self._store_view.staleness():.2f}',
+            seconds=f'{self._app.clock.monotonic() - began:.4f}',
+        )
+        return Lookup(origin, replied == len(asked))
+
+    def _known(self, query: OriginRequest) -> model.StreamOrigin | None:
+        return self._kept(query.key or _CONTENT_PREFIX + query.content)
+
+    def _kept(self, key: str) -> model.StreamOrigin | None:
+        entry = self._entries_by_key.get(key)
+        if entry is None or entry.expires_at <= self._app.clock.monotonic():
+            return None
+        return entry.origin
+
+    def _only_origin(
+        self, query: OriginRequest, timeout: float, is_complete: bool
+    ) -> model.StreamOrigin | None:
+        """Return what alone can have begun a stream.
+
+        Parameters
+        ----------
+        query : OriginRequest
+            The stream.
+        timeout : float
+            Of its route, seconds.
+        is_complete : bool
+            Whether this daemon has to know all that was in force since the
+            stream may have begun.
+        """
+        since = self._app.clock.monotonic() - timeout * MAX_AGE_TIMEOUTS
+        if is_complete and (
+            self._history.complete_since > since
+            or self._store_view.continuous_since > since
+            or self._store_view.staleness() > store_view.STALE_SECONDS
+        ):
+            return None
+        return self._history.only_origin(query.host, query.path, since)
+
+    def _keep(self, begun: StreamBegun) -> None:
+        now = self._app.clock.monotonic()
+        for key in (begun.key, _CONTENT_PREFIX + begun.content):
+            origin = model.StreamOrigin(begun.service, begun.version)
+            known = self._kept(key)
+            if known not in (None, origin):
+                if known != AMBIGUOUS:
+                    self._app.events.add(
+                        'stream.ambiguous', key=key, known=known, told=origin
+                    )
+                origin = AMBIGUOUS
+            self._entries_by_key[key] = _Entry(
+                begun.content, origin, now + begun.seconds
+            )
+            self._entries_by_key.move_to_end(key)
+        while self._entries_by_key:
+            oldest = next(iter(self._entries_by_key))
+            if (
+                len(self._entries_by_key) <= MAX_STREAMS
+                and self._entries_by_key[oldest].expires_at > now
+            ):
+                break
+            del self._entries_by_key[oldest]
+
+    def _keepers(self, content: str) -> list[str]:
+        """Return the peers that are told of a stream."""
+        ranked = rendezvous.rank(content, self._live_peers())
+        return [
+            *ranked[:KEEPERS],
+            # Callers may be cut off from other data centres.
+            *self._neighbours(ranked[KEEPERS:])[:1],
+        ]
+
+    def _possible_keepers(self, content: str) -> list[str]:
+        """Return the peers that are asked for a stream."""
+        members = self._membership.members()
+        alive = [vm for vm in members if self._membership.is_alive(vm)]
+        if not self._membership.is_large:
+            return alive
+        ranked = rendezvous.rank(content, alive)
+        return [
+            *ranked[:ASKED_PEERS],
+            *self._neighbours(ranked[ASKED_PEERS:])[:ASKED_NEIGHBOURS],
+        ]
+
+    def _live_peers(self) -> list[str]:
+        own = self._app.identity.vm
+        return [vm for vm in self._membership.live() if vm != own]
+
+    def _neighbours(self, vms: list[str]) -> list[str]:
+        """Return those of the peers that are in the own data centre."""
+        members = self._membership.members()
+        own = self._app.identity.data_centre
+        return [
+            vm
+            for vm in vms
+            if vm in members and members[vm].data_centre == own
+        ]
+
+    async def _replies(
+        self, vms: list[str], message: tuple[Any, ...], seconds: float
+    ) -> AsyncIterator[tuple[str, Any]]:
+        """Send a message to peers at once; yield each reply as it comes."""
+
+        async def ask(vm: str) -> tuple[str, Any]:
+            reply = await self._peers.ask(vm, message, seconds)
+            return vm, reply.ok if reply.is_ok() else None
+
+        tasks = [asyncio.create_task(ask(vm)) for vm in vms]
+        try:
+            for task in asyncio.as_completed(tasks):
+                vm, reply = await task
+                if reply is not None:
+                    yield vm, reply
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _on_begun(
+        self, _sender: peers.Sender, begun: StreamBegun
+    ) -> StreamKept:
+        self._keep(begun)
+        return StreamKept(begun.key)
+
+    async def _on_many_begun(
+        self, _sender: peers.Sender, message: StreamsBegun
+    ) -> None:
+        for begun in message.streams:
+            self._keep(begun)
+
+    async def _on_request(
+        self, _sender: peers.Sender, query: OriginRequest
+    ) -> OriginReply:
+        origin = self._known(query)
+        config = self._store_view.configuration
+        if origin is None and config is not None:
+            route = config.route(query.host, query.path)
+            if route is not None:
+                origin = self._only_origin(query, route.timeout, True)
+        if origin is None:
+            return OriginReply(False)
+        return OriginReply(True, *origin)
+
+    def _remind(self, vm: str) -> None:
+        """Tell a peer that has started, or is back, of streams it keeps."""
+        now = self._app.clock.monotonic()
+        live = self._live_peers()
+        streams = [
+            StreamBegun(
+                key, entry.content, *entry.origin, entry.expires_at - now
+            )
+            for key, entry in self._entries_by_key.items()
+            if entry.expires_at > now
+            and not key.startswith(_CONTENT_PREFIX)
+            and rendezvous.is_among_first(entry.content, vm, live, KEEPERS)
+        ]
+        for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
+            chunk = streams[start : start + MAX_STREAMS_PER_MESSAGE]
+            self._peers.tell(vm, StreamsBegun(tuple(chunk)))
+
+    def _observe_upstreams(self) -> None:
+        self._history.observe_upstreams(
+            self._store_view.upstreams_by_instance.values(),
+            self._app.clock.monotonic(),
+        )
+
+    def _observe_routes(self, configuration: model.Configuration) -> None:
+        self._history.observe_routes(
+            configuration.routes_by_host, self._app.clock.monotonic()
+        )
+
+
+def _key(account: str, request_id: str) -> str:
+    """Return a key of a bounded size; identifiers come from callers."""
+    digest = hashlib.blake2b(digest_size=12)
+    digest.update(f'{account}\0{request_id}'.encode())
+    return digest.hexdigest()
--- a/corianderspar/router/verification.py
+++ b/corianderspar/router/verification.py
@@ -10,6 +10,7 @@
 
 # From the begin of an era until what the copy lacks has been written again.
 REWRITE_SECONDS = 2.0
+GAP_SECONDS = 3.0  # upstreams may have come and gone meanwhile
 
 
 class Verification:
@@ -24,11 +25,15 @@
         states none.
     verified_at : float
         When the state was last verified as the newest; -inf for never.
+    continuous_since : float
+        End of the last gap of more than `GAP_SECONDS` between verifications;
+        -inf if there was none.
     """
 
     def __init__(self) -> None:
         self.era = 0
         self.verified_at = float('-inf')
+        self.continuous_since = float('-inf')
         self._has_answer = False
         self._rewritten_at = float('-inf')
 
@@ -73,6 +78,10 @@
         if at < self._rewritten_at or at <= self.verified_at:
             return False
         is_first = self.is_pending
+        if math.isfinite(self.verified_at) and (
+            at - self.verified_at > GAP_SECONDS
+        ):
+            self.continuous_since = at
         self.verified_at = at
         return is_first
 
