--- a/corianderspar/router/plain_calls.py
+++ b/corianderspar/router/plain_calls.py
@@ -14,6 +14,7 @@
 from corianderspar.router import retries
 from corianderspar.router import selection
 from corianderspar.router import store_view
+from corianderspar.router import stream_origins
 from corianderspar.router import telemetry
 from corianderspar.router import upstream_notices
 from corianderspar.router import upstream_permits
@@ -76,6 +77,7 @@
         'permits',
         'quarantine',
         'retries',
+        'stream_origins',
         'telemetry',
     )
 
@@ -91,6 +93,9 @@
         self._notices = app.find('notices', upstream_notices.UpstreamNotices)
         self._permits = app.find('permits', upstream_permits.UpstreamPermits)
         self._quarantine = app.find('quarantine', quarantine.Quarantine)
+        self._origins = app.find(
+            'stream_origins', stream_origins.StreamOrigins
+        )
         self._selector = selection.UpstreamSelector(app.identity.data_centre)
         self._store_view.on_upstreams_change.append(self._on_upstreams_changed)
 
@@ -116,6 +121,7 @@
         running: list[_Send] = []
         answer: _CompleteAnswer | None = None
         answered_send = 0
+        answered_by: model.Upstream | None = None
         reason = 'no upstream'
         try:
             while answer is None or answer.status >= 500:
@@ -139,6 +145,7 @@
                         reason = f'status {result.ok.status}'
                         if answer is None or answer.status >= 500:
                             answer, answered_send = result.ok, send.number
+                            answered_by = send.run.upstream
                         continue
                     reason = result.error.detail
                     if (
@@ -160,6 +167,11 @@
             if wait > 0.0:
                 raise context.error('upstreams_limited', reason, wait)
             raise context.error('upstream_failed', reason)
+        if answer.status == 200 and answered_by is not None:
+            context.origin = context.origin or model.StreamOrigin(
+                answered_by.service, answered_by.version
+            )
+            await self._origins.record(context)
         await context.exchange.answer(
             answer.status, answer.headers, answer.body
         )
@@ -200,6 +212,7 @@
                     )
                 )
                 if upstream.instance not in skipped
+                and context.may_go_on_at(upstream)
                 and self._permits.wait(upstream) == 0.0
             ]
             now = self._app.clock.monotonic()
@@ -352,6 +365,7 @@
         options = upstreams.CallOptions(
             context.account,
             timeout,
+            after_event=context.request.after_event,
             max_answer_bytes=self._store_view.limits.answer_bytes,
         )
         result = await self._calls.run(upstream, context.request, options)
--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -326,3 +326,40 @@
     job = _job('b', 4.0 + scheduler.SUSPECT_MIN_SECONDS + 0.1, excluded=only)
     decision = service_scheduler.submit(job, job.arrived_at)
     assert isinstance(decision, scheduler.Grant)
+
+
+def test_engines_are_kept_for_a_waiting_job_that_needs_their_version():
+    engines = [
+        DECODES[0]._replace(version='v1'),
+        DECODES[1]._replace(version='v2'),
+        *PREFILLS,
+    ]
+    service_scheduler = _make_scheduler(engines)
+    number = 0
+    while service_scheduler.submit(
+        _job(f'old{number}', 0.0, version='v1'), 0.0
+    ):
+        number += 1
+    waiting = f'old{number}'
+    assert number and service_scheduler.backlog_size() == 1
+    # These would fit beside the jobs of v1.
+    small = [
+        service_scheduler.submit(
+            _job(f'new{each}', 0.0, prompt_tokens=50, length_hint=10), 0.0
+        )
+        for each in range(10)
+    ]
+    assert {grant.decode for grant in small} == {'d1'}
+    service_scheduler.release('old0', 0.1, is_complete=True)
+    decisions = service_scheduler.schedule_backlog(0.1)
+    assert [(job.job_id, grant.decode) for job, grant in decisions] == [
+        (waiting, 'd0')
+    ]
+
+
+def test_job_of_a_version_that_no_engine_has_is_refused_at_once():
+    engines = [DECODES[0]._replace(version='v2'), *PREFILLS]
+    decision = _make_scheduler(engines).submit(
+        _job('l', 0.0, version='v1'), 0.0
+    )
+    assert isinstance(decision, scheduler.Refusal) and 'v1' in decision.reason
--- a/tests/router/test_stream_versions.py
+++ b/tests/router/test_stream_versions.py
@@ -476,3 +476,36 @@
         assert not mixed(streams)
 
     run_fleet(main, engines(version_count))
+
+
+def test_plain_upstream_of_another_version_gets_no_take_up():
+    async def main(fleet):
+        feed = system.route(
+            'feed', 'shop', model.RetryPolicy.RESUME, attempts=1
+        )
+        config = system.configuration(2, routes=(feed,))
+        fleet.store.publish(config)
+        fleet.upstreams.default_behaviour = fakes.Behaviour()
+        await asyncio.sleep(1.0)
+        for number in range(20):
+            first = await fleet.request(
+                'vm1', f'/feed/{number}', id=f'f{number}'
+            )
+            assert first.status == 200
+            await fleet.request(
+                f'vm{number % DAEMONS + 1}',
+                f'/feed/{number}',
+                after='3',
+                begun_by=f'f{number}',
+            )
+            began, taken_up = fleet.upstreams.calls[-2:]
+            assert began.instance == taken_up.instance
+            assert taken_up.options.after_event == 3
+
+    run_fleet(
+        main,
+        [
+            engine('s1', model.Phase.PLAIN, 'v1', 'shop'),
+            engine('s2', model.Phase.PLAIN, 'v2', 'shop'),
+        ],
+    )
