--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -339,6 +339,7 @@
     while service_scheduler.submit(
         _job(f'old{number}', 0.0, version='v1'), 0.0
     ):
+        service_scheduler.note_prefilled(f'old{number}', 0.0)
         number += 1
     waiting = f'old{number}'
     assert number and service_scheduler.backlog_size() == 1
