--- a/tests/router/test_stream_versions.py
+++ b/tests/router/test_stream_versions.py
@@ -13,6 +13,7 @@
 from tests.router import system
 
 DAEMONS = 6
+LARGE_FLEET = 40  # in which heartbeats do not go to all
 WAVES = 5
 STREAMS_PER_WAVE = 12
 EVENTS = 60
@@ -116,7 +117,7 @@
         return self.last
 
 
-def run_fleet(main, upstreams, **bounds):
+def run_fleet(main, upstreams, daemons=DAEMONS):
     async def run():
         fleet = system.System()
         for each in system.UPSTREAMS:
@@ -126,7 +127,7 @@
         fleet.upstreams.default_behaviour = fakes.Behaviour(
             events=EVENTS, event_interval=EVENT_INTERVAL
         )
-        await fleet.start_all(DAEMONS, retry_slack=1000.0, **bounds)
+        await fleet.start_all(daemons, retry_slack=1000.0)
         await asyncio.sleep(5.0)
         await main(fleet)
 
@@ -320,10 +321,16 @@
 )
 
 
-@pytest.mark.parametrize('version_count', (2, 3))
-@pytest.mark.parametrize('trouble', TROUBLES, ids=lambda t: t.__name__)
+@pytest.mark.parametrize(
+    ('trouble', 'version_count', 'daemons'),
+    [
+        *itertools.product(TROUBLES, (2, 3), (DAEMONS,)),
+        *itertools.product((Killed, JustStarted), (2,), (LARGE_FLEET,)),
+    ],
+    ids=lambda value: getattr(value, '__name__', None),
+)
 def test_stream_is_taken_up_at_the_version_that_began_it(
-    trouble, version_count
+    trouble, version_count, daemons
 ):
     async def main(fleet):
         played, shares = [], []
@@ -348,7 +355,7 @@
         if trouble.is_in_touch:
             assert sum(shares) / len(shares) >= MIN_SHARE
 
-    run_fleet(main, engines(version_count))
+    run_fleet(main, engines(version_count), daemons)
 
 
 @pytest.mark.parametrize('version_count', (2, 3))
