--- a/tests/router/test_stream_versions.py
+++ b/tests/router/test_stream_versions.py
@@ -135,7 +135,11 @@
     clock.run_virtual(run())
 
 
-async def begin(fleet, paths=('/chat/x',) * STREAMS_PER_WAVE, vm='vm1'):
+# Streams of one content have the same keepers.
+PATHS = [f'/chat/{number}' for number in range(STREAMS_PER_WAVE)]
+
+
+async def begin(fleet, paths=PATHS, vm='vm1'):
     streams = [Stream(fleet, path) for path in paths]
     for stream in streams:
         stream.attempt(vm)
@@ -469,10 +473,7 @@
     version_count, has_same_content, least_share
 ):
     async def main(fleet):
-        paths = [
-            '/chat/x' if has_same_content else f'/chat/{number}'
-            for number in range(STREAMS_PER_WAVE)
-        ]
+        paths = PATHS[:1] * STREAMS_PER_WAVE if has_same_content else PATHS
         streams = await begin(fleet, paths)
         for stream in streams:
             await stream.leave()
