--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -228,14 +228,14 @@
         origin = lookup.origin
         if origin is None:
             retry_after = None
-            if not lookup.has_asked_all:
+            if lookup.may_others_know:
                 retry_after = request_context.DEFAULT_RETRY_SECONDS
             raise request_context.RequestError(
                 problems.Problem(
                     'stream_unknown',
                     503,
                     'no',
-                    'nobody knows which version began the stream',
+                    'no daemon knows which version began the stream',
                     retry_after,
                 )
             )
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -427,7 +427,7 @@
         """
         if context.may_go_on_at(engine):
             return None
-        reason = f'{engine.version!r} does not go on {context.origin}'
+        reason = f'version {engine.version!r} did not begin the stream'
         return self._not_sent(context, engine, reason, prefilled)
 
     async def _refuse_other_process(
@@ -442,8 +442,8 @@
         requests before the store lists its new process here.
         """
         by_instance = self._store_view.upstreams_by_instance
-        present = by_instance.get(engine.instance, engine)
-        refused = self._refuse_other_version(context, present, prefilled)
+        engine = by_instance.get(engine.instance, engine)
+        refused = self._refuse_other_version(context, engine, prefilled)
         if (
             refused is not None
             or context.origin is None
--- a/corianderspar/router/scheduler.py
+++ b/corianderspar/router/scheduler.py
@@ -249,6 +249,13 @@
     )
 
 
+def _no_engine(job: Job) -> Refusal:
+    reason = 'no engine'
+    if job.version is not None:
+        reason = f'no engine of version {job.version!r}'
+    return Refusal(RETRY_NO_ENGINE_SECONDS, reason)
+
+
 class Permits(Protocol):
     """Decides whether engines that state a limit may get a job."""
 
@@ -381,10 +388,7 @@
         output_tokens = round(self._output_lengths.predict(job.length_hint))
         job = job._replace(output_tokens=output_tokens)
         if not self._usable_decode_engines(job, now, ignore_avoided=True):
-            reason = 'no engine'
-            if job.version is not None:
-                reason = f'no engine of version {job.version!r}'
-            return Refusal(RETRY_NO_ENGINE_SECONDS, reason)
+            return _no_engine(job)
         if not any(self._fits(e, job) for e in self._decode_engines()):
             return Refusal(RETRY_MAX_SECONDS, 'larger than an engine')
         if self._misses_deadline(job, now):
@@ -412,6 +416,13 @@
         uses_by_instance = self._uses_by_instance(now)
         failed: list[Job] = []
         for job in self._ordered_backlog(now):
+            if (
+                job.version is not None
+                and job.version not in self._decode_versions
+            ):
+                del self._backlog_by_id[job.job_id]
+                decisions.append((job, _no_engine(job)))
+                continue
             if self._misses_deadline(job, now):
                 del self._backlog_by_id[job.job_id]
                 retry_after = self._retry_after(job, now)
--- a/corianderspar/router/stream_origins.py
+++ b/corianderspar/router/stream_origins.py
@@ -16,7 +16,8 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+import contextlib
 import hashlib
 from typing import Any
 from typing import NamedTuple
@@ -36,11 +37,13 @@
 ASKED_NEIGHBOURS = 2  # in the own data centre, which callers mostly keep to
 CONFIRM_SECONDS = 0.05  # for the first keeper to confirm
 ASK_SECONDS = 0.15  # for all keepers to reply
+# Of the known daemons; below it, those that know a stream may be cut off.
+MIN_LIVE_SHARE = 0.5
 # From the longest end of an attempt until the caller's next one.
 TAKE_UP_SECONDS = 10.0
 # Of its route's timeout: a stream that is taken up began no longer ago.
 MAX_AGE_TIMEOUTS = 2.0
-MAX_STREAMS = 16384  # each counts twice, by attempt and by content
+MAX_ENTRIES = 16384  # two for each stream, by attempt and by content
 MAX_STREAMS_PER_MESSAGE = 256
 # Stands for streams of one key that began at different versions.
 AMBIGUOUS = model.StreamOrigin('', '')
@@ -113,12 +116,12 @@
     ----------
     origin : StreamOrigin or None
         None if it is not known.
-    has_asked_all : bool
-        Whether each peer that may know it has replied.
+    may_others_know : bool
+        Whether daemons that were not heard may know it.
     """
 
     origin: model.StreamOrigin | None
-    has_asked_all: bool = True
+    may_others_know: bool
 
 
 class _Entry(NamedTuple):
@@ -189,9 +192,12 @@
         self._keep(begun)
         keepers = self._keepers(begun.content)
         confirmed_by = '-'
-        async for vm, _reply in self._replies(keepers, begun, CONFIRM_SECONDS):
-            confirmed_by = vm
-            break
+        async with contextlib.aclosing(
+            self._replies(keepers, begun, CONFIRM_SECONDS)
+        ) as replies:
+            async for vm, _reply in replies:
+                confirmed_by = vm
+                break
         self._app.events.add(
             'stream.begun',
             request=request.request_id,
@@ -220,21 +226,27 @@
         origin = self._known(query)
         asked: list[str] = []
         replied = 0
+        timeout = context.matched.route.timeout
         if origin is None:
             source = 'history'
-            # A caller that names no attempt does not speak of versions; it is
-            # served while this daemon knows only one.
-            origin = self._only_origin(
-                query, context.matched.route.timeout, bool(query.key)
-            )
+            origin = self._only_origin(query, timeout, is_complete=True)
         if origin is None:
             asked = self._possible_keepers(query.content)
-            async for vm, reply in self._replies(asked, query, ASK_SECONDS):
-                replied += 1
-                if reply.is_known:
-                    source = vm
-                    origin = model.StreamOrigin(reply.service, reply.version)
-                    break
+            async with contextlib.aclosing(
+                self._replies(asked, query, ASK_SECONDS)
+            ) as replies:
+                async for vm, reply in replies:
+                    replied += 1
+                    if reply.is_known:
+                        source = vm
+                        origin = model.StreamOrigin(
+                            reply.service, reply.version
+                        )
+                        break
+        if origin is None and not query.key:
+            # This caller does not speak of versions; it is served while this
+            # daemon knows only one.
+            origin = self._only_origin(query, timeout, is_complete=False)
         if origin == AMBIGUOUS:
             origin = None
         self._app.events.add(
@@ -250,7 +262,14 @@
             store_age=f'{self._store_view.staleness():.2f}',
             seconds=f'{self._app.clock.monotonic() - began:.4f}',
         )
-        return Lookup(origin, replied == len(asked))
+        return Lookup(origin, replied < len(asked) or self._is_cut_off())
+
+    def _is_cut_off(self) -> bool:
+        """Return whether this daemon hears few of the others, or none."""
+        return (
+            not self._membership.members()
+            or self._membership.live_share() < MIN_LIVE_SHARE
+        )
 
     def _known(self, query: OriginRequest) -> model.StreamOrigin | None:
         return self._kept(query.key or _CONTENT_PREFIX + query.content)
@@ -262,7 +281,7 @@
         return entry.origin
 
     def _only_origin(
-        self, query: OriginRequest, timeout: float, is_complete: bool
+        self, query: OriginRequest, timeout: float, *, is_complete: bool
     ) -> model.StreamOrigin | None:
         """Return what alone can have begun a stream.
 
@@ -303,7 +322,7 @@
         while self._entries_by_key:
             oldest = next(iter(self._entries_by_key))
             if (
-                len(self._entries_by_key) <= MAX_STREAMS
+                len(self._entries_by_key) <= MAX_ENTRIES
                 and self._entries_by_key[oldest].expires_at > now
             ):
                 break
@@ -346,7 +365,7 @@
 
     async def _replies(
         self, vms: list[str], message: tuple[Any, ...], seconds: float
-    ) -> AsyncIterator[tuple[str, Any]]:
+    ) -> AsyncGenerator[tuple[str, Any], None]:
         """Send a message to peers at once; yield each reply as it comes."""
 
         async def ask(vm: str) -> tuple[str, Any]:
@@ -383,7 +402,9 @@
         if origin is None and config is not None:
             route = config.route(query.host, query.path)
             if route is not None:
-                origin = self._only_origin(query, route.timeout, True)
+                origin = self._only_origin(
+                    query, route.timeout, is_complete=True
+                )
         if origin is None:
             return OriginReply(False)
         return OriginReply(True, *origin)
--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -359,8 +359,20 @@
 
 
 def test_job_of_a_version_that_no_engine_has_is_refused_at_once():
-    engines = [DECODES[0]._replace(version='v2'), *PREFILLS]
-    decision = _make_scheduler(engines).submit(
-        _job('l', 0.0, version='v1'), 0.0
+    old, new = (
+        engine._replace(version=version)
+        for engine, version in zip(DECODES[:2], ('v1', 'v2'), strict=True)
     )
+    service_scheduler = _make_scheduler([old, new, *PREFILLS])
+    number = 0
+    while service_scheduler.submit(
+        _job(f'old{number}', 0.0, version='v1'), 0.0
+    ):
+        service_scheduler.note_prefilled(f'old{number}', 0.0)
+        number += 1
+    service_scheduler.set_engines([new, *PREFILLS])
+    [(waiting, decision)] = service_scheduler.schedule_backlog(0.1)
+    assert waiting.job_id == f'old{number}'
     assert isinstance(decision, scheduler.Refusal) and 'v1' in decision.reason
+    later = service_scheduler.submit(_job('later', 0.2, version='v1'), 0.2)
+    assert isinstance(later, scheduler.Refusal)
--- a/tests/router/test_stream_versions.py
+++ b/tests/router/test_stream_versions.py
@@ -352,7 +352,10 @@
                 await stream.leave()
             for stream in streams:
                 if stream.answers[-1].status == 503:
-                    assert stream.answers[-1].headers_by_name['ran'] == 'no'
+                    headers = stream.answers[-1].headers_by_name
+                    assert headers['ran'] == 'no'
+                    # Another daemon may know what this one does not.
+                    assert trouble.is_in_touch or 'retry-after' in headers
             happen.settle(fleet)
             await asyncio.sleep(3.0)
         assert len(mixed(played)) <= MAX_MIXED
