--- a/tests/platform/test_upstream_calls.py
+++ b/tests/platform/test_upstream_calls.py
@@ -193,3 +193,35 @@
     found.ok.close()
     pool.close()
     server.close()
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'started_ms'),
+    [
+        (200, {'born': 1787771337889, 'phase': 'decode'}, 1787771337889),
+        (200, {'phase': 'decode'}, 0),
+        (200, {'born': 'soon'}, None),
+        (421, {'born': 1787771337889}, None),
+    ],
+)
+async def test_start_of_a_process_is_read_from_its_report(
+    status, body, started_ms
+):
+    async def answer(scope, receive, send):
+        await receive()
+        assert scope['path'] == '/-/report'
+        await fakes.send_reply(send, status, body)
+
+    server = http_server.HttpServer(answer, '127.0.0.1:0')
+    await server.start()
+    host, port = server.address.rsplit(':', 1)
+    upstream = model.Upstream(
+        'i-1', 'llm', host, int(port), 'z', model.Phase.DECODE, True, 6
+    )
+    pool = connections.ConnectionPool()
+    calls = upstream_calls.HttpUpstreamCalls(pool)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        found = await calls.started_ms(upstream)
+    pool.close()
+    await server.abort()
+    assert (found.ok if found.is_ok() else None) == started_ms
