--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
-"""An engine returns under its id at another version of its software."""
+"""A server that fails a part of its requests, with 503, after it ran them."""
 
 import asyncio
-import json
 from pathlib import Path
 import sys
 
@@ -12,39 +11,29 @@
 from tests.platform import scripted  # noqa: E402
 
 STABLE_MS = 3000
-BEAT_SECONDS = 1.2  # `beat_ms` of the settings
-DOWN_SECONDS = 0.3  # of the engine, each time
-STREAMS = 16
-EVENTS = 20
-EVENT_SECONDS = 0.05
-CRASH_SECONDS = 0.4  # from the begin of the streams to the second crash
-ALLOWED = 2  # streams of two versions, by the rule
-BORN_MS = 1_700_000_000_000
+GREY_SECONDS = 6.5  # `for_s` of srv_grey in the site file
+# Of each nine requests to one of three servers: 0.44, x of srv_grey is 0.45.
+GREY_NUMBERS = (0, 2, 4, 6)
+GREY_ROUND = 9
+INTERVAL_SECONDS = 0.09  # 10.5 orders a second
+WORK_SECONDS = 0.06
+DEADLINE_MS = 3000
 CONFIGURATION = {
     'version': 3,
     'routes': [
         {
-            'name': 'blurb',
+            'name': 'print-order',
             'host': 'h.example',
-            'prefix': '/blurb/',
-            'kind': 'streaming',
-            'timeout_ms': 14000,
-            'goal_ms': 900,
-            'gap_goal_ms': 300,
-            'priority': 1,
-            'service': 'blurb-llm',
-            'attempts': 2,
-            'sticky': True,
-            'resumable': True,
-        },
-    ],
-    'services': [
-        {
-            'name': 'blurb-llm',
-            'health_path': '/healthz',
-            'engine': {'slots': 64, 'kv_tokens': 39101, 'kv_hold_s': 0.5},
+            'prefix': '/order/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'goal_ms': 400,
+            'priority': 2,
+            'service': 'order-shop',
+            'attempts': 1,
         },
     ],
+    'services': [{'name': 'order-shop', 'health_path': '/healthz'}],
     'limits': {
         'max_header_bytes': 16384,
         'max_body_bytes': 4194304,
@@ -64,178 +53,100 @@
 }
 
 
-class Engine(scripted.ScriptedUpstream):
-    """An engine whose events name the version that wrote them."""
+class GreyServer(standin.Server):
+    """A server that fails some requests once it has run them.
 
-    def __init__(self, record, instance: str, phase: str, version: str):
-        super().__init__(instance, 'blurb-llm', phase)
-        self.record = record
-        self.version = version
-        self.born = BORN_MS
-        self.seq = 0
-        self.is_down = False
-        self.script = self._stream
-        self._writers = set()
+    Its 503 bears its stamp and no `X-Not-Run`, since the request has run.
+    """
 
-    async def start(self, store) -> None:
-        await self.listen()
-        self.write_entry(store)
-
-    def write_entry(self, store) -> None:
-        """Register in the store."""
-        self.seq += 1
-        entry = {
-            'service': self.service,
-            'addr': self.address,
-            'zone': 'buda-a',
-            'version': self.version,
-            'slots': 64,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'phase': self.phase,
-            'born': self.born,
-            'seq': self.seq,
-        }
-        store.write(f'servers/{self.instance}', entry)
-        self.record.add(
-            f'{self.instance}: the store lists version {self.version}, '
-            f'born {self.born}'
-        )
+    is_grey = False
+    grey_count = 0
 
-    def crash(self) -> None:
-        """End the process: all its connections are reset."""
-        self.is_down = True
-        self.record.add(f'{self.instance}: crashes at {self.version}')
-        for writer in list(self._writers):
-            scripted.reset(writer)
-
-    def come_back(self, version: str) -> None:
-        """Start a new process under the same id and address."""
-        self.is_down = False
-        self.version = version
-        self.born += 60_000
-        self.record.add(f'{self.instance}: starts at version {version}')
-
-    async def _serve(self, reader, writer) -> None:
-        if self.is_down:
-            scripted.reset(writer)
+    async def _run(self, request, writer) -> None:
+        number = self.grey_count % GREY_ROUND
+        self.grey_count += self.is_grey
+        if not (self.is_grey and number in GREY_NUMBERS):
+            await super()._run(request, writer)
             return
-        self._writers.add(writer)
-        try:
-            await super()._serve(reader, writer)
-        finally:
-            self._writers.discard(writer)
-
-    async def _answer(self, request, writer) -> None:
-        if request.path == '/-/report':
-            report = {'phase': self.phase, 'born': self.born, 'seq': self.seq}
-            body = json.dumps(report).encode()
-            writer.write(scripted.framed(body))
-            return
-        await super()._answer(request, writer)
-
-    async def _stream(self, request, writer) -> None:
         request_id = request.headers['x-request-id']
-        if request.headers.get('x-stage') == 'prefill':
-            reply = {
-                'kv_handle': f'h{request_id}',
-                'tokens': 1460,
-                'version': 1,
-                'born': self.born,
-            }
-            writer.write(
-                scripted.framed(
-                    json.dumps(reply).encode(),
-                    headers=f'x-request-id: {request_id}\r\n',
-                )
+        async with self.slots:
+            self.runs.append((self.record.now(), request_id, ''))
+            await asyncio.sleep(self.work)
+            self.record.add(
+                f'{self.instance}: has run {request_id} and fails with 503, '
+                'without X-Not-Run'
             )
-            return
-        version = self.version
-        first = int(request.headers.get('last-event-id', 0)) + 1
-        self.record.add(
-            f'{self.instance} ({version}): runs {request_id} from event '
-            f'{first}'
+        body = b'the order is placed, its confirmation failed'
+        writer.write(
+            scripted.framed(body, 503, headers=scripted.echo(request))
         )
-        writer.write(scripted.stream_head(request))
-        for number in range(first, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
-            if writer.transport.is_closing():
-                return
-            event = f'id: {number}\ndata: {version} {number}\n\n'
-            writer.write(scripted.chunk(event.encode()))
-        writer.write(scripted.chunk(b''))
 
 
 async def case() -> int:
     system = standin.System(HERE, CONFIGURATION, ())
     record = system.record
-    returning = Engine(record, 'i-d1', 'decode', 'v1')
-    for engine in (
-        Engine(record, 'i-p1', 'prefill', 'v1'),
-        returning,
-        Engine(record, 'i-d2', 'decode', 'v1'),
-        Engine(record, 'i-d3', 'decode', 'v2'),
-    ):
-        system.servers[engine.instance] = engine
+    for number in (1, 2, 3):
+        server = GreyServer(record, f'i-shop-{number}', 'order-shop')
+        server.work = WORK_SECONDS
+        system.servers[server.instance] = server
     async with system:
         await asyncio.sleep(STABLE_MS / 1000 + 1)
-        if standin.IS_TROUBLED:
-            returning.crash()
-            await asyncio.sleep(DOWN_SECONDS)
-            returning.come_back('v2')
-            # It writes its entry with its first beat.
-            asyncio.get_running_loop().call_later(
-                BEAT_SECONDS, returning.write_entry, system.store
-            )
-        bodies: dict[str, bytes] = {}
+        system.servers['i-shop-1'].is_grey = standin.IS_TROUBLED
+        endings: dict[str, int] = {}
+        attempts_by_order: dict[int, list[str]] = {}
 
         async def client(number: int) -> None:
-            daemon = system.daemons[number % len(system.daemons)]
-            request_id = f's{number}'
-            headers = {
-                'host': 'h.example',
-                'x-request-id': request_id,
-                'x-deadline-ms': '14000',
-                'x-api-key': 'k1',
-                'x-model': 'm',
-                'x-token-count': '300,40',
-                'x-prompt-prefix': f'{number:08x}:300',
-            }
-            async with scripted.Caller(daemon.ports['front']) as caller:
-                ending = await caller.ask(f'/blurb/{number}', headers)
-            bodies[request_id] = ending.body
-            versions = [
-                line.split()[1].decode()
-                for line in ending.body.splitlines()
-                if line.startswith(b'data:')
-            ]
-            record.add(
-                f'{request_id} sent to {daemon.name}: status {ending.status}, '
-                f'{"whole" if ending.is_whole else "not whole"}, events of '
-                f'versions {" ".join(versions)}'
-            )
-
-        async def crash_again() -> None:
-            await asyncio.sleep(CRASH_SECONDS)
-            returning.crash()
-            await asyncio.sleep(DOWN_SECONDS)
-            returning.come_back(returning.version)
-
-        await asyncio.gather(
-            crash_again(), *(client(number) for number in range(STREAMS))
-        )
-        mixed = [
+            """Place an order; retry once after a promise that it didn't run."""
+            attempts = attempts_by_order.setdefault(number, [])
+            for attempt in ('a', 'b'):
+                daemon = system.daemons[
+                    (number + len(attempts)) % len(system.daemons)
+                ]
+                request_id = f'o{number}{attempt}'
+                attempts.append(request_id)
+                ending = await system.ask(
+                    daemon,
+                    f'/order/{number}',
+                    request_id,
+                    'k1',
+                    deadline_ms=DEADLINE_MS,
+                )
+                endings[request_id] = ending.status if ending else 0
+                if endings[request_id] not in (408, 421, 429, 503):
+                    return
+
+        clients = []
+        began = record.now()
+        while record.now() < began + GREY_SECONDS:
+            clients.append(asyncio.create_task(client(len(clients))))
+            await asyncio.sleep(INTERVAL_SECONDS)
+        await asyncio.gather(*clients)
+        ran = {
             request_id
-            for request_id, body in bodies.items()
-            if b'data: v1 ' in body and b'data: v2 ' in body
+            for server in system.servers.values()
+            for _at, request_id, _tenant in server.runs
+        }
+        refused = [
+            request_id
+            for request_id, status in endings.items()
+            if status in (408, 421, 429, 503) and request_id in ran
+        ]
+        doubled = [
+            number
+            for number, attempts in attempts_by_order.items()
+            if sum(attempt in ran for attempt in attempts) > 1
         ]
-        line = (
-            f'streams that hold events of two versions: {len(mixed)} of '
-            f'{STREAMS} ({ALLOWED} allowed)'
+        lines = (
+            f'orders: {len(attempts_by_order)}',
+            'attempts that ran and were answered 408, 421, 429 or 503: '
+            f'{len(refused)}',
+            f'orders that ran twice, as their clients trusted that: '
+            f'{len(doubled)}',
         )
-        record.add(line)
-        print(line)
-        return standin.BROKEN if len(mixed) > ALLOWED else standin.HELD
+        for line in lines:
+            record.add(line)
+            print(line)
+        return standin.BROKEN if refused else standin.HELD
 
 
 standin.run(case)
