Follow the store to another address, and settings that no signal announces

Callers would see 404 on added routes and 503 on all keys, for good, from a daemon whose settings name another address of the store: it went on asking the old one. The settings file may change without a signal, and with one only the seeds were taken from it.

Evidence: test_store_at_another_address_is_followed, with SIGHUP and without, failed before (404 for 20 s after the change) and passes now. That the reported machines took this way isn't shown.

--- a/corianderspar/platform/__main__.py
+++ b/corianderspar/platform/__main__.py
@@ -12,6 +12,7 @@
 from corianderspar.router import connections
 from corianderspar.router import daemon
 from corianderspar.router import log_writer
+from corianderspar.router import settings_watch
 
 EXIT_INVALID_SETTINGS = 2
 STANDARD_OUTPUT = 1
@@ -20,8 +21,11 @@
 async def run(initial: settings.Settings, path: Path) -> None:
     """Run the daemon until a signal stops it."""
     pool = connections.ConnectionPool()
+    store_client = platform.HttpStoreClient(
+        initial.store_host, initial.store_port, pool
+    )
     adapters = daemon.PlatformAdapters(
-        platform.HttpStoreClient(initial.store_host, initial.store_port, pool),
+        store_client,
         platform.HttpUpstreamCalls(pool),
         platform.HttpCallerFormat(),
     )
@@ -36,9 +40,17 @@
                 )
             return
         router_daemon.reload(loaded.ok.router.seeds)
+        address = loaded.ok.store_host, loaded.ok.store_port
+        if address != store_client.address:
+            store_client.address = address
+            router_daemon.app.events.add(
+                'store.moved', address='{}:{}'.format(*address)
+            )
 
+    watch = settings_watch.SettingsWatch(path, reload)
+    router_daemon.app.add(watch)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload_now)
     await daemon.serve(router_daemon, log_writer.LogWriter(STANDARD_OUTPUT))
 
 
--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -52,13 +52,17 @@
         Address of the store.
     pool : ConnectionPool
         Connections to the store.
+
+    Attributes
+    ----------
+    address : tuple of (str, int)
+        Where the next call goes.
     """
 
     def __init__(
         self, host: str, port: int, pool: connections.ConnectionPool
     ) -> None:
-        self._host = host
-        self._port = port
+        self.address = host, port
         self._pool = pool
 
     async def read(
@@ -144,10 +148,12 @@
     ) -> Result[tuple[T, int], store.StoreError]:
         """Return the decoded body of an answer, and the era it states."""
         target = f'{path}?{parse.urlencode(query)}'
-        host = f'{self._host}:{self._port}'.encode()
-        request = connections.Request('GET', target, ((b'host', host),))
+        host, port = self.address
+        request = connections.Request(
+            'GET', target, ((b'host', f'{host}:{port}'.encode()),)
+        )
         try:
-            response = await self._pool.send(self._host, self._port, request)
+            response = await self._pool.send(host, port, request)
             async with response:
                 body = await response.read(MAX_BODY_BYTES, on_progress)
         except connections.UpstreamError as error:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import os
 from pathlib import Path
 import signal
@@ -281,6 +282,36 @@
         assert (await system.post('/order/1')).status_code == 200
 
 
+@pytest.mark.parametrize('is_signalled', [True, False])
+async def test_store_at_another_address_is_followed(tmp_path, is_signalled):
+    """Guards against daemons that ask where the store no longer is."""
+    document = copy.deepcopy(fakes.CONFIGURATION)
+    document['version'] += 4
+    document['routes'][1]['prefix'] = '/added/'
+    async with System(tmp_path) as system:
+        moved = fakes.FakeStoreServer()
+        moved.entries_by_key = dict(system.store.entries_by_key)
+        moved.history = list(system.store.history)
+        moved.revision = system.store.revision
+        address = await moved.start()
+        try:
+            await system.store.stop()
+            text = system.path.read_text()
+            system.path.write_text(text.replace(system.store_address, address))
+            if is_signalled:
+                system.process.send_signal(signal.SIGHUP)
+            moved.write('op/config', document)
+            for _ in range(POLL_COUNT):
+                answer = await system.post('/added/1')
+                if answer.status_code == 200:
+                    break
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            assert answer.status_code == 200
+            assert await system.is_ready()
+        finally:
+            await moved.stop()
+
+
 async def test_sighup_during_start_does_not_end_the_process(tmp_path):
     async def send_sighups(process):
         for _ in range(60):
