--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -45,9 +45,12 @@
 class Daemon:
     """One daemon process, started again whenever it ends."""
 
-    def __init__(self, name: str, path: Path, ports: dict[str, int]) -> None:
+    def __init__(
+        self, name: str, path: Path, ports: dict[str, int], root: Path = ROOT
+    ) -> None:
         self.name = name
         self.path = path
+        self.root = root  # the checkout that it runs
         self.ports = ports
         self.output = b''
         self.expected = 0  # ends that the soak caused
@@ -98,7 +101,7 @@
                 sys.executable,
                 '-m',
                 'deploy.start',
-                cwd=ROOT,
+                cwd=self.root,
                 env=os.environ | {'CORIANDERSPAR_CONFIG': str(self.path)},
                 stdout=asyncio.subprocess.PIPE,
                 stderr=asyncio.subprocess.STDOUT,
@@ -165,7 +168,11 @@
         self.faults: list[str] = []
         self.version = fakes.CONFIGURATION['version']
         self.engines: list[upstreams.SoakUpstream] = []
+        self.root = ROOT
+        self.store = fakes.FakeStoreServer()
+        self.store.page_size = 50
         self.links: list[proxy.Proxy] = []
+        self.store_links: list[proxy.Proxy] = []  # one for each daemon
         self.daemons: list[Daemon] = []
         self.is_over = False
         self.is_healed = False
@@ -199,8 +206,6 @@
         return findings + self._checks()
 
     async def _start(self) -> None:
-        self.store = fakes.FakeStoreServer()
-        self.store.page_size = 50
         address = await self.store.start()
         self.store.write('op/config', fakes.CONFIGURATION)
         for name, service, phase in ENGINES:
@@ -213,6 +218,7 @@
         for number, ports in enumerate(all_ports):
             link = proxy.Proxy(address)
             self.links.append(link)
+            self.store_links.append(link)
             seeds = f'"127.0.0.1:{all_ports[0]["control"]}"'
             path = self.path / f'{number}.toml'
             path.write_text(
@@ -223,7 +229,9 @@
                     **ports,
                 )
             )
-            self.daemons.append(Daemon(f'front-{number}', path, ports))
+            self.daemons.append(
+                Daemon(f'front-{number}', path, ports, self.root)
+            )
         self.running = [asyncio.create_task(d.run()) for d in self.daemons]
 
     async def _add_engine(self, name: str, service: str, phase: str) -> None:
@@ -268,7 +276,7 @@
         async with httpx.AsyncClient(timeout=1.0) as client:
             for daemon in self.daemons:
                 for _look in range(int(seconds / LOOK_SECONDS)):
-                    if await _is_ready(client, daemon):
+                    if await is_ready(client, daemon):
                         break
                     if time.monotonic() > until:
                         raise TimeoutError(f'{daemon.name} is not ready')
@@ -620,7 +628,7 @@
         return findings
 
 
-async def _is_ready(client: httpx.AsyncClient, daemon: Daemon) -> bool:
+async def is_ready(client: httpx.AsyncClient, daemon: Daemon) -> bool:
     try:
         found = await client.get(daemon.url('ready', '/-/ready'))
     except httpx.HTTPError:
