Show why the state of the store is old

What operators saw: a daemon that answers keys_unproved, and 404 on a route that was added, for minutes. An outage is logged once (store.lost), so nothing told whether calls to the store still fail and with what, whether its answers are behind, whether the task that follows the store still runs, and what peers reply. No metric did either.

Change, without any change of what the daemon does: - state.unverified once the state has not been verified for 3.5 s, then every 5 s: the last outcome and the counts of calls to the store and of questions to peers, and where in the code the task that follows the store waits, and since when. state.verified_again ends it. - request.refused names the last outcomes while the state is that old. - Counters of calls to the store and of questions to peers by outcome, and gauges of the revision, the age of the last answer and failed tasks.

It is made by the periodic task that exists.

Evidence: test_log_tells_why_the_state_is_old (a store that hangs, one that is behind, and a call that raises) fails in its three cases without the change, as does the test of an outage, which now asks for the line at its end.

--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -23,6 +23,7 @@
 SOUND_SECONDS = 5.0  # a task that runs for longer is no longer failing
 MAX_FAILURES_IN_ROW = 3  # from which on the application is impaired
 MAX_KEPT_FAILURES = 100
+MAX_PLACES = 5  # innermost calls that the log shows of a task that waits
 
 
 class Incarnation(NamedTuple):
@@ -124,6 +125,31 @@
         return f'{Path(frames[-1].filename).name}:{frames[-1].lineno}'
 
 
+def waiting_place(task: asyncio.Task[Any]) -> str:
+    """Return where in the code a task waits, outermost call first.
+
+    `asyncio.Task.get_stack` tells of the outermost call only.
+
+    Examples
+    --------
+    >>> async def main():
+    ...     task = asyncio.ensure_future(asyncio.sleep(1.0))
+    ...     await asyncio.sleep(0.0)
+    ...     return waiting_place(task).startswith('tasks.py:')
+    >>> asyncio.run(main())
+    True
+    """
+    places: list[str] = []
+    awaited: Any = task.get_coro()
+    while awaited is not None:
+        frame = getattr(awaited, 'cr_frame', None)
+        if frame is not None:
+            name = Path(frame.f_code.co_filename).name
+            places.append(f'{name}:{frame.f_lineno}')
+        awaited = getattr(awaited, 'cr_await', None)
+    return ' > '.join(places[-MAX_PLACES:]) or '-'
+
+
 class _Health(NamedTuple):
     """Failures of a task that is run again.
 
@@ -177,6 +203,7 @@
         self.events = timeline.EventBuffer(str(self.incarnation), self.clock)
         self.aborted = False
         self.failures: list[Failure] = []
+        self.failure_count = 0
         self.on_failure: list[Callable[[Failure], None]] = []
         self.on_started: list[Callable[[], None]] = []
         self.on_stopped: list[Callable[[], None]] = []
@@ -363,6 +390,7 @@
         return [self._services_by_name[name] for name in order]
 
     def _report_failure(self, failure: Failure) -> None:
+        self.failure_count += 1
         self.failures.append(failure)
         del self.failures[:-MAX_KEPT_FAILURES]
         self.events.add(
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -209,6 +209,24 @@
                 'Calls made.',
                 lambda: self._store_view.store_calls,
             ),
+            (
+                'store_revision',
+                'Up to which all changes are known.',
+                lambda: self._store_view.position.revision,
+            ),
+            (
+                'store_answer_age_seconds',
+                'Since the store last answered with a state; Inf: never.',
+                lambda: (
+                    self.app.clock.monotonic()
+                    - self._store_view.store_answered_at
+                ),
+            ),
+            (
+                'failed_tasks',
+                'Tasks that raised (service.failed).',
+                lambda: self.app.failure_count,
+            ),
             ('cold_upstreams', 'Known as cold.', self._permits.cold_count),
             (
                 'upstream_connections',
@@ -220,6 +238,24 @@
                 f'corianderspar_router_{name}', help_text, read
             )
 
+        for name, help_text, read_counts in (
+            (
+                'store_answers',
+                'Calls to the store that ended.',
+                lambda: self._store_view.store_outcomes.counts_by_code,
+            ),
+            (
+                'peer_states',
+                'Questions to peers for their state that ended.',
+                lambda: self._store_view.peer_outcomes.counts_by_code,
+            ),
+        ):
+            self._telemetry.add_counters(
+                f'corianderspar_router_{name}',
+                help_text,
+                'outcome',
+                read_counts,
+            )
         self._telemetry.add_gauges_by_rank(
             'corianderspar_router_waiting',
             'Requests that wait for engines at this home.',
--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -437,6 +437,7 @@
             message=problem.message,
             store_age=f'{self._store_view.staleness():.2f}',
             path='' if context else exchange.raw_path,
+            **self._store_view.describe_doubt(),
         )
         headers, body = self._caller_format.error_answer(request_id, problem)
         await exchange.answer(problem.status, headers, body)
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -35,6 +35,7 @@
 from corianderspar.router import relays
 from corianderspar.router import state_messages
 from corianderspar.router import store
+from corianderspar.router import store_contact
 from corianderspar.router import verification
 
 WATCH_SECONDS = 1.5  # of a long poll; a reader makes one call in this time
@@ -147,6 +148,11 @@
         Era and revision of the store up to which all changes are known.
     store_calls : int
         Number of calls to the store.
+    store_answered_at : float
+        Monotonic seconds of the last answer of the store with a state, even
+        an older one; -inf for never.
+    store_outcomes, peer_outcomes : Tally
+        Of calls to the store, and of questions to peers for their state.
     on_configuration_adopted : list of callable
         Hooks called with the configuration that came into force.
     on_upstreams_change : list of callable
@@ -163,6 +169,7 @@
     ) -> None:
         self.position = store.Position(0, 0)
         self.store_calls = 0
+        self.store_answered_at = float('-inf')
         self.on_configuration_adopted: list[
             Callable[[model.Configuration], None]
         ] = []
@@ -198,7 +205,13 @@
             'state', self._provide_state, self._accept_state
         )
         self._answered_at = app.clock.monotonic()
-        app.keep_running(self.name, 'follow', self._follow)
+        self.store_outcomes = store_contact.Tally(app.clock)
+        self.peer_outcomes = store_contact.Tally(app.clock)
+        self._unverified_log = store_contact.UnverifiedLog(
+            self._log, app.clock, self.store_outcomes, self.peer_outcomes
+        )
+        self._step_at = app.clock.monotonic()
+        self._follow_task = app.keep_running(self.name, 'follow', self._follow)
         app.keep_running(self.name, 'tend', self._maintain)
 
     async def stop(self) -> None:
@@ -235,6 +248,18 @@
         """Return the seconds since this state was verified as the newest."""
         return self._app.clock.monotonic() - self.verified_at
 
+    def describe_doubt(self) -> dict[str, str]:
+        """Return why the state is old, as fields of a log line.
+
+        Empty for a state that is not older than usual.
+        """
+        if self.staleness() <= store_contact.UNVERIFIED_SECONDS:
+            return {}
+        return {
+            'store_last': self.store_outcomes.describe_last(),
+            'peers_last': self.peer_outcomes.describe_last(),
+        }
+
     def ready_upstreams(self, service: str) -> list[model.Upstream]:
         """Return the upstreams of a service that accept requests."""
         return [
@@ -330,6 +355,7 @@
         request = self._state_request(wait, can_read_store=True)
         reply = await self._peers.ask(vm, request, seconds)
         if reply.is_error():
+            self.peer_outcomes.add(reply.error.code, vm)
             self._relays.mark_unresponsive(vm, reply.error.code)
             return
         state = self._decode(vm, reply.ok)
@@ -346,6 +372,7 @@
         if self._start_policy is not StartPolicy.STORE:
             await self._start_from_peers()
         while True:
+            self._step_at = clock.monotonic()
             source = self._relays.choose()
             if source.role is relays.Role.READER or not self.position.revision:
                 # A reader whose state is late, as it has just become one,
@@ -406,9 +433,11 @@
                 wait + STORE_TIMEOUT_SECONDS,
             )
         if result.is_error():
+            self.store_outcomes.add(result.error.code, result.error.detail)
             await self._handle_failure(result.error)
             return
         found = result.ok
+        self.store_answered_at = clock.monotonic()
         if found.era < self._verification.era or found.position < before:
             self._log(
                 'store.behind',
@@ -417,10 +446,14 @@
                 known_era=before.era,
                 known_revision=before.revision,
             )
+            self.store_outcomes.add(
+                'behind', f'{found.position} is below {before}'
+            )
             await self._handle_failure(
                 store.StoreError('unreachable', 'answer is behind')
             )
             return
+        self.store_outcomes.add('ok')
         is_new_era = self._enter_era(found.era, 'store')
         self._record_answer(clock.monotonic())
         if is_new_era and not is_snapshot:
@@ -565,13 +598,17 @@
             relay, request, hold + PEER_TIMEOUT_SECONDS
         )
         if reply.is_error():
+            self.peer_outcomes.add(reply.error.code, relay)
             self._relays.mark_unresponsive(relay, reply.error.code)
             return False
         state = self._decode(relay, reply.ok)
         if state is None or state.position < self.position:
+            if state is not None:
+                self.peer_outcomes.add('behind', relay)
             self._relays.mark_unresponsive(relay, 'behind')
             return False
         if self._lacks_configuration(state):
+            self.peer_outcomes.add('no_configuration', relay)
             self._apply_known(state, began)
             self._begin_reading()
             await clock.sleep(READING_POLL_SECONDS)
@@ -767,6 +804,7 @@
         while True:
             await self._app.clock.sleep(MAINTENANCE_SECONDS)
             now = self._app.clock.monotonic()
+            self._log_if_unverified()
             is_changed = self._registrations.apply_due(now, self.position.era)
             if self._evacuations.apply_due(now, self.position.era):
                 is_changed = True
@@ -783,6 +821,16 @@
             ):
                 await self._ask_random_peer()
 
+    def _log_if_unverified(self) -> None:
+        self._unverified_log.check(
+            self.verified_at,
+            self._follow_task,
+            self._step_at,
+            era=self._verification.era,
+            revision=self.position.revision,
+            version=self._adopted.version,
+        )
+
     async def _ask_random_peer(self) -> None:
         vm = self._random_peer()
         if vm is not None:
@@ -792,7 +840,10 @@
         began = self._app.clock.monotonic()
         request = self._state_request(0.0, can_read_store=False)
         reply = await self._peers.ask(vm, request, PEER_TIMEOUT_SECONDS)
-        state = self._decode(vm, reply.ok) if reply.is_ok() else None
+        if reply.is_error():
+            self.peer_outcomes.add(reply.error.code, vm)
+            return
+        state = self._decode(vm, reply.ok)
         if state is not None:
             self._apply_reply(vm, state, began)
 
@@ -902,6 +953,7 @@
         try:
             return state_messages.decode(encoded)
         except decoding.ERRORS as error:
+            self.peer_outcomes.add('unreadable', vm)
             self._log('peer.unreadable', peer=vm, why=error)
             return None
 
@@ -931,11 +983,14 @@
             )
         position = state.position
         if position < self.position or position.era < self._verification.era:
+            self.peer_outcomes.add('behind', vm)
             return
         if self._lacks_configuration(state) or (
             position.era > self.position.era and not state.is_snapshot
         ):
+            self.peer_outcomes.add('incomplete', vm)
             return
+        self.peer_outcomes.add('ok', f'{vm}, age {state.staleness:.2f}')
         self._enter_era(position.era, vm, state.era_age)
         now = self._app.clock.monotonic()
         if position > self.position:
--- a/corianderspar/router/telemetry.py
+++ b/corianderspar/router/telemetry.py
@@ -1,9 +1,12 @@
 """Prometheus metrics of one router daemon."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
 import functools
 
 import prometheus_client
+from prometheus_client import core
 
 from corianderspar import kernel
 from corianderspar import metrics
@@ -11,6 +14,31 @@
 from corianderspar.router import request_context
 
 
+class _Counts:
+    """Collector of counts that a service keeps itself."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, int]],
+    ) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Return the counts at present."""
+        family = core.CounterMetricFamily(
+            self._name, self._help_text, labels=(self._label,)
+        )
+        for value, count in sorted(self._read().items()):
+            family.add_metric((value,), count)
+        yield family
+
+
 class Telemetry:
     """The service ``telemetry``.
 
@@ -83,6 +111,16 @@
         for rank in range(ranks):
             gauge.labels(str(rank)).set_function(functools.partial(read, rank))
 
+    def add_counters(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Add a counter by one label; counts are read at each scrape."""
+        self.registry.register(_Counts(name, help_text, label, read))
+
     def count_refusal(self, problem: problems.Problem) -> None:
         """Count a response that the router itself gave."""
         self._refusals.labels(problem.code, problem.ran).inc()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -166,6 +166,8 @@
             'corianderspar_router_sends_total{answered="true",stage="decode"}',
             'corianderspar_router_first_event_seconds_count 1.0',
             'corianderspar_router_configuration_version 3.0',
+            'corianderspar_router_store_answers_total{outcome="ok"}',
+            'corianderspar_router_failed_tasks 0.0',
         ):
             assert line in page.text
 
--- a/tests/router/test_store_view.py
+++ b/tests/router/test_store_view.py
@@ -1,6 +1,10 @@
 import asyncio
 
+from expression import Ok
+import pytest
+
 from corianderspar import clock
+from corianderspar.router import store
 from corianderspar.router import store_view
 from tests.router import system
 
@@ -96,6 +100,10 @@
         ]
         assert min(staleness) > 5.0
         assert fleet.events('vm1', 'store.lost')
+        fleet.store.down = False
+        await asyncio.sleep(1.0)
+        (ended,) = fleet.events('vm1', 'state.verified_again')
+        assert 5.0 < float(ended.fields['seconds']) < 8.0
 
     run_fleet(main)
 
@@ -131,6 +139,59 @@
     run_fleet(main)
 
 
+def answer_behind(client):
+    async def answer(*_arguments):
+        return Ok(store.Changes(1, (), 1))
+
+    client.watch = client.read = answer
+
+
+def hang(client):
+    async def answer(*_arguments):
+        await asyncio.Event().wait()
+
+    client.watch = client.read = answer
+
+
+def raise_error(client):
+    async def answer(*_arguments):
+        raise RuntimeError('bad input')
+
+    client.watch = client.read = answer
+
+
+@pytest.mark.parametrize(
+    ('trouble', 'outcome', 'seen'),
+    [
+        (hang, 'unreachable', 'no answer in time'),
+        (answer_behind, 'behind', 'is below'),
+        (raise_error, '', 'ok'),
+    ],
+)
+def test_log_tells_why_the_state_is_old(trouble, outcome, seen):
+    """Guards against an outage of which one line is all that is known."""
+
+    async def main(fleet):
+        for vm in fleet.apps_by_vm:
+            trouble(fleet.store_view(vm)._client)
+        await asyncio.sleep(40.0)
+        lines = fleet.events('vm1', 'state.unverified')
+        assert 7 <= len(lines) <= 8
+        for line in lines[1:]:
+            assert seen in line.fields['store_last']
+            assert (f'{outcome}=' in line.fields['store']) == bool(outcome)
+            assert line.fields['follow'] == 'runs'
+            assert line.fields['waits_at'] != '-'
+        app = fleet.apps_by_vm['vm1']
+        assert (app.failure_count > 20) == (trouble is raise_error)
+        answer = await fleet.request('vm1', '/look/x')
+        assert answer.status == 503
+        (refused,) = fleet.events('vm1', 'request.refused')
+        assert seen in refused.fields['store_last']
+
+    run_fleet(main)
+
+
 def test_removed_upstream_is_dropped_within_50_ms():
     async def main(fleet):
         fleet.store.remove('s1')
