Run a task again that ends without an error

A daemon whose task that follows the store has ended answers 401 on a key that was added and 404 on a route that was, and it is never ready again; nothing is in its log.

Cause: Application._run_again returned if the coroutine of the task returned, and ended with a CancelledError that came from something the task awaited (a future that was cancelled), which is no Exception. Neither was reported. A run that was cancelled at shutdown and raised something else instead was run again, so that the shutdown would wait for it.

Change: each end of a run is a failure that is logged and after which it is run again, unless somebody cancelled the task itself, as its cancelling() says. Then it ends, whatever the run made of it.

Evidence: failed before, pass now: test_store_is_followed_again_after_a_failure [vms0-cancel], [vms1-cancel] (401 for the new key, no service.failed) and test_task_that_ends_by_itself_is_run_again_until_it_is_cancelled.

--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -106,6 +106,10 @@
         ...
 
 
+class TaskEndedError(Exception):
+    """A task that a service depends on returned."""
+
+
 class Failure(NamedTuple):
     """Exception raised by a task or by the ``stop`` of a service."""
 
@@ -125,6 +129,12 @@
         return f'{Path(frames[-1].filename).name}:{frames[-1].lineno}'
 
 
+def _is_cancelled() -> bool:
+    """Return whether somebody cancelled the current task."""
+    current = asyncio.current_task()
+    return current is not None and current.cancelling() > 0
+
+
 def waiting_place(task: asyncio.Task[Any]) -> str:
     """Return where in the code a task waits, outermost call first.
 
@@ -317,10 +327,12 @@
         task: str,
         run: Callable[[], Coroutine[Any, Any, Any]],
     ) -> asyncio.Task[Any]:
-        """Run a coroutine function as a task, and again whenever it raises.
+        """Run a coroutine function as a task, and again whenever it ends.
 
         The service depends on that task as long as it runs, so one bad input
-        may not end it for good. Each failure is reported as in `spawn`.
+        may not end it for good. Each end is reported like a failure in
+        `spawn`: an exception, a return, and a cancellation that came from
+        something it awaited. Only a cancellation of the task itself ends it.
 
         Parameters
         ----------
@@ -354,11 +366,15 @@
         key = service, task
         while True:
             began = self.clock.monotonic()
+            error: BaseException
             try:
                 await run()
-                return
-            except Exception as error:  # noqa: BLE001
-                self._report_failure(Failure(service, task, error))
+                error = TaskEndedError(f'task {task!r} of {service!r} ended')
+            except (Exception, asyncio.CancelledError) as raised:  # noqa: BLE001
+                error = raised
+            if _is_cancelled():
+                raise asyncio.CancelledError
+            self._report_failure(Failure(service, task, error))
             now = self.clock.monotonic()
             before = self._health_by_task.get(key)
             failures = 1
--- a/tests/router/test_task_failures.py
+++ b/tests/router/test_task_failures.py
@@ -28,13 +28,17 @@
     raise RuntimeError('bad input')
 
 
-def failing_once(method):
+def cancel():
+    raise asyncio.CancelledError  # as an awaited future does that is cancelled
+
+
+def failing_once(method, end=fail):
     failures = []
 
     async def fail_once(*arguments, **keywords):
         if not failures:
             failures.append(1)
-            fail()
+            end()
         return await method(*arguments, **keywords)
 
     return fail_once
@@ -44,14 +48,15 @@
     return fleet.store_view(vm)._client
 
 
+@pytest.mark.parametrize('end', [fail, cancel])
 @pytest.mark.parametrize('vms', [('vm1',), ('vm1', 'vm2', 'vm3')])
-def test_store_is_followed_again_after_a_failure(vms):
+def test_store_is_followed_again_after_a_failure(vms, end):
     """Guards against daemons that keep an old configuration for good."""
 
     async def main(fleet):
         for vm in vms:
             client = store_client(fleet, vm)
-            client.watch = failing_once(client.watch)
+            client.watch = failing_once(client.watch, end)
         await asyncio.sleep(2.0)
         fleet.store.publish(
             system.configuration(2, keys_by_account={'parish': ('k2',)})
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -107,6 +107,38 @@
     assert app.events.events()[-1].name == 'service.failed'
 
 
+def test_task_that_ends_by_itself_is_run_again_until_it_is_cancelled():
+    """Guards against a task that is gone without a line in the log."""
+    app = make_application(RecordingService('a'))
+    runs = []
+
+    async def work():
+        runs.append(1)
+        if len(runs) == 2:
+            raise asyncio.CancelledError
+        if len(runs) == 4:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                raise ValueError from None
+
+    async def main():
+        await app.start()
+        task = app.keep_running('a', 'work', work)
+        await asyncio.sleep(5.0)
+        assert not task.done()
+        await asyncio.wait_for(app.stop(), 1.0)
+        assert task.cancelled()
+
+    clock.run_virtual(main())
+    assert len(runs) == 4
+    assert [type(f.error).__name__ for f in app.failures] == [
+        'TaskEndedError',
+        'CancelledError',
+        'TaskEndedError',
+    ]
+
+
 def test_service_that_fails_to_stop_does_not_block_the_others():
     calls = []
     app = make_application(
