--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -23,6 +23,7 @@
 SOUND_SECONDS = 5.0  # a task that runs for longer is no longer failing
 MAX_FAILURES_IN_ROW = 3  # from which on the application is impaired
 MAX_KEPT_FAILURES = 100
+MAX_PLACES = 5  # innermost calls that the log shows of a task that waits
 
 
 class Incarnation(NamedTuple):
@@ -105,6 +106,10 @@
         ...
 
 
+class TaskEndedError(Exception):
+    """A task that a service depends on returned."""
+
+
 class Failure(NamedTuple):
     """Exception raised by a task or by the ``stop`` of a service."""
 
@@ -124,6 +129,37 @@
         return f'{Path(frames[-1].filename).name}:{frames[-1].lineno}'
 
 
+def _is_cancelled() -> bool:
+    """Return whether somebody cancelled the current task."""
+    current = asyncio.current_task()
+    return current is not None and current.cancelling() > 0
+
+
+def waiting_place(task: asyncio.Task[Any]) -> str:
+    """Return where in the code a task waits, outermost call first.
+
+    `asyncio.Task.get_stack` tells of the outermost call only.
+
+    Examples
+    --------
+    >>> async def main():
+    ...     task = asyncio.ensure_future(asyncio.sleep(1.0))
+    ...     await asyncio.sleep(0.0)
+    ...     return waiting_place(task).startswith('tasks.py:')
+    >>> asyncio.run(main())
+    True
+    """
+    places: list[str] = []
+    awaited: Any = task.get_coro()
+    while awaited is not None:
+        frame = getattr(awaited, 'cr_frame', None)
+        if frame is not None:
+            name = Path(frame.f_code.co_filename).name
+            places.append(f'{name}:{frame.f_lineno}')
+        awaited = getattr(awaited, 'cr_await', None)
+    return ' > '.join(places[-MAX_PLACES:]) or '-'
+
+
 class _Health(NamedTuple):
     """Failures of a task that is run again.
 
@@ -177,6 +213,7 @@
         self.events = timeline.EventBuffer(str(self.incarnation), self.clock)
         self.aborted = False
         self.failures: list[Failure] = []
+        self.failure_count = 0
         self.on_failure: list[Callable[[Failure], None]] = []
         self.on_started: list[Callable[[], None]] = []
         self.on_stopped: list[Callable[[], None]] = []
@@ -290,10 +327,12 @@
         task: str,
         run: Callable[[], Coroutine[Any, Any, Any]],
     ) -> asyncio.Task[Any]:
-        """Run a coroutine function as a task, and again whenever it raises.
+        """Run a coroutine function as a task, and again whenever it ends.
 
         The service depends on that task as long as it runs, so one bad input
-        may not end it for good. Each failure is reported as in `spawn`.
+        may not end it for good. Each end is reported like a failure in
+        `spawn`: an exception, a return, and a cancellation that came from
+        something it awaited. Only a cancellation of the task itself ends it.
 
         Parameters
         ----------
@@ -327,11 +366,15 @@
         key = service, task
         while True:
             began = self.clock.monotonic()
+            error: BaseException
             try:
                 await run()
-                return
-            except Exception as error:  # noqa: BLE001
-                self._report_failure(Failure(service, task, error))
+                error = TaskEndedError(f'task {task!r} of {service!r} ended')
+            except (Exception, asyncio.CancelledError) as raised:  # noqa: BLE001
+                error = raised
+            if _is_cancelled():
+                raise asyncio.CancelledError
+            self._report_failure(Failure(service, task, error))
             now = self.clock.monotonic()
             before = self._health_by_task.get(key)
             failures = 1
@@ -363,6 +406,7 @@
         return [self._services_by_name[name] for name in order]
 
     def _report_failure(self, failure: Failure) -> None:
+        self.failure_count += 1
         self.failures.append(failure)
         del self.failures[:-MAX_KEPT_FAILURES]
         self.events.add(
