Read the good items of an answer of the store beside a bad one

Callers of added routes got 404 and those with a key 503, for as long as the store held one item that could not be read. Each answer was decoded as a whole, so an invalid character, null, a number of another type or a part nested too deep in one item made the daemon reject all of it and make the same call again, for ever.

An answer that is rejected is now cut into its parts by a scan for strings and brackets, and each part is decoded by itself (`lenient_json`). Fields that are not read may hold anything. An item whose own fields can't be read becomes a fault with its key, if that can be read, and its revision or the one that the answer implies. It names no upstream, and is no deletion of the configuration. The scan runs in a thread, as it takes long enough to delay requests. Pages continue after the greatest key, of which the bytes are taken even if they are no text.

The new tests failed before: all 19 cases of test_unreadable_item_leaves_the_others, and 3 of 5 of test_field_that_is_not_read_may_be_unreadable (the other two hold bytes that the decoder skips).

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's store. Calls are not retried."""
 
+import asyncio
 import base64
 from typing import TypeVar
 from urllib import parse
@@ -10,6 +11,7 @@
 import msgspec
 
 from corianderspar import decoding
+from corianderspar import lenient_json
 from corianderspar.platform import protocol
 from corianderspar.platform import store_values
 from corianderspar.router import connections
@@ -19,9 +21,19 @@
 MAX_PAGES = 1000  # of one read; each page holds 50 items or more
 # Keys and values of one read, as encoded; ten times those of 3,300 engines.
 MAX_READ_BYTES = 32 * 1024 * 1024
+MAX_KEY_BYTES = 200  # of a key that is logged
 HTTP_GONE = 410  # the revision of a watch was compacted
 
-T = TypeVar('T')
+_PREFIXES = tuple(
+    prefix.encode()
+    for prefix in (
+        protocol.CONFIGURATION_KEY,
+        protocol.UPSTREAM_PREFIX,
+        protocol.EVACUATION_PREFIX,
+    )
+)
+
+ReplyT = TypeVar('ReplyT', bound=msgspec.Struct)
 
 
 class _Item(msgspec.Struct):
@@ -65,18 +77,15 @@
         self, on_progress: store.ProgressHook | None = None
     ) -> Result[store.Changes, store.StoreError]:
         """Read the configuration, registrations and evacuations."""
-        items: list[_Item] = []
-        revision = 0
-        era = 0
-        size = 0
+        reading = _Reading()
         for prefix in (
             protocol.CONFIGURATION_KEY,
             protocol.UPSTREAM_PREFIX,
             protocol.EVACUATION_PREFIX,
         ):
-            after = ''
+            after = b''
             for _page in range(MAX_PAGES):
-                query = {'prefix': prefix}
+                query: dict[str, str | bytes] = {'prefix': prefix}
                 if after:
                     query['after'] = after
                 page = await self._get(
@@ -89,28 +98,17 @@
                     return Error(page.error)
                 if on_progress is not None:
                     on_progress()
-                reply, page_era = page.ok
-                if revision and page_era != era:
-                    return Error(
-                        store.StoreError(
-                            'era_changed',
-                            f'pages of eras {era} and {page_era}',
-                            page_era,
-                        )
-                    )
-                era = page_era
-                revision = revision or reply.as_of
-                items.extend(reply.items)
-                size += sum(len(i.key) + len(i.value) for i in reply.items)
-                if size > MAX_READ_BYTES:
-                    return _endless_read(f'more than {size} bytes', era)
+                reply, era = page.ok
+                error = reading.add(reply, era)
+                if error is not None:
+                    return Error(error)
                 if not reply.has_more or not reply.items:
                     break
-                if reply.items[-1].key <= after:
-                    return _endless_read('pages go back', era)
-                after = reply.items[-1].key
-        changes = tuple(filter(None, (_decode_change(item) for item in items)))
-        return Ok(store.Changes(revision, changes, era))
+                before = after
+                after = max(map(_raw_key, reply.items))
+                if after <= before:
+                    return _failed_read('pages go back', era)
+        return Ok(reading.finish())
 
     async def watch(
         self,
@@ -119,7 +117,7 @@
         on_progress: store.ProgressHook | None = None,
     ) -> Result[store.Changes, store.StoreError]:
         """Wait for changes of any key, for ``wait`` seconds."""
-        query = {
+        query: dict[str, str | bytes] = {
             'prefix': '',
             'after': str(revision),
             'wait_ms': str(int(wait * 1000)),
@@ -130,18 +128,22 @@
         if reply.is_error():
             return Error(reply.error)
         watched, era = reply.ok
-        changes = (_decode_change(item) for item in watched.events)
-        return Ok(
-            store.Changes(watched.as_of, tuple(filter(None, changes)), era)
-        )
+        changes = []
+        for item in watched.events:
+            # The revisions rise; that of an unreadable item is unknown.
+            revision = _revision(item, revision + 1)
+            change = _decode_change(item, revision)
+            if change is not None:
+                changes.append(change)
+        return Ok(store.Changes(watched.as_of, tuple(changes), era))
 
     async def _get(
         self,
         path: str,
-        query: dict[str, str],
-        reply_type: type[T],
+        query: dict[str, str | bytes],
+        reply_type: type[ReplyT],
         on_progress: store.ProgressHook | None,
-    ) -> Result[tuple[T, int], store.StoreError]:
+    ) -> Result[tuple[ReplyT, int], store.StoreError]:
         """Return the decoded body of an answer, and the era it states."""
         target = f'{path}?{parse.urlencode(query)}'
         host = f'{self._host}:{self._port}'.encode()
@@ -167,31 +169,90 @@
             )
         try:
             return Ok((msgspec.json.decode(body, type=reply_type), era))
-        except decoding.ERRORS as error:
+        except decoding.ERRORS:
+            pass  # decoded anew, without the parts that can't be read
+        try:
+            # In a thread, as it takes long enough to delay requests.
+            reply = await asyncio.to_thread(
+                lenient_json.decode_struct, body, reply_type
+            )
+        except ValueError as error:
             return Error(store.StoreError('unreachable', f'answer: {error}'))
+        return Ok((reply, era))
+
+
+class _Reading:
+    """Changes of the pages of a read."""
+
+    def __init__(self) -> None:
+        self._changes: list[store.Change] = []
+        self._revision = 0
+        self._era = 0
+        self._size = 0
+
+    def add(self, page: _RangeReply, era: int) -> store.StoreError | None:
+        """Decode a page; return an error if the read can't go on."""
+        if self._revision and era != self._era:
+            return store.StoreError(
+                'era_changed', f'pages of eras {self._era} and {era}', era
+            )
+        self._era = era
+        self._revision = self._revision or page.as_of
+        for item in page.items:
+            change = _decode_change(item, _revision(item, self._revision))
+            if isinstance(item, _Item):
+                self._size += len(item.key) + len(item.value)
+            if change is not None:
+                self._changes.append(change)
+        if self._size > MAX_READ_BYTES:
+            detail = f'more than {MAX_READ_BYTES} bytes'
+            return store.StoreError('unreachable', detail, era)
+        return None
 
+    def finish(self) -> store.Changes:
+        """Return all changes."""
+        return store.Changes(self._revision, tuple(self._changes), self._era)
 
-def _endless_read(
+
+def _failed_read(
     detail: str, era: int
 ) -> Result[store.Changes, store.StoreError]:
     return Error(store.StoreError('unreachable', detail, era))
 
 
-def _decode_change(item: _Item) -> store.Change | None:
+def _raw_key(item: _Item | lenient_json.Partial) -> bytes:
+    """Return the bytes of a key; empty if there is none."""
+    if isinstance(item, _Item):
+        return item.key.encode()
+    raw = item.raw_by_field.get('key', b'')
+    return lenient_json.encode_text(lenient_json.decode_text(raw) or '')
+
+
+def _revision(item: _Item | lenient_json.Partial, default: int) -> int:
+    if isinstance(item, _Item):
+        return item.rev
+    return int(item.values_by_field.get('rev', default))
+
+
+def _decode_change(
+    item: _Item | lenient_json.Partial, revision: int
+) -> store.Change | None:
     """Return the change of an item; None for keys of other systems."""
+    if isinstance(item, lenient_json.Partial):
+        return _decode_unreadable(item, revision)
     if item.key == protocol.CONFIGURATION_KEY:
         if item.deleted:
-            return store.Change(item.rev, fault='configuration deleted')
+            return store.Change(revision, fault='configuration deleted')
         try:
             configuration = store_values.decode_configuration(
                 _decode_value(item)
             )
         except store_values.DecodeError as error:
-            return store.Change(item.rev, fault=f'configuration: {error}')
-        return store.Change(item.rev, configuration=configuration)
+            return store.Change(revision, fault=f'configuration: {error}')
+        return store.Change(revision, configuration=configuration)
     if item.key.startswith(protocol.EVACUATION_PREFIX):
         return store.Change(
-            item.rev,
+            revision,
             data_centre=item.key.removeprefix(protocol.EVACUATION_PREFIX),
             is_removed=item.deleted,
         )
@@ -199,12 +260,39 @@
         return None
     instance = item.key.removeprefix(protocol.UPSTREAM_PREFIX)
     if item.deleted:
-        return store.Change(item.rev, instance=instance)
+        return store.Change(revision, instance=instance)
     try:
         upstream = store_values.decode_upstream(instance, _decode_value(item))
     except store_values.DecodeError as error:
-        return store.Change(item.rev, instance=instance, fault=str(error))
-    return store.Change(item.rev, instance=instance, upstream=upstream)
+        return store.Change(revision, instance=instance, fault=str(error))
+    return store.Change(revision, instance=instance, upstream=upstream)
+
+
+def _decode_unreadable(
+    item: lenient_json.Partial, revision: int
+) -> store.Change | None:
+    """Return the fault of an item; None for keys of other systems."""
+    fault = f'item: {item.reason}'
+    key = item.values_by_field.get('key')
+    if key is None:
+        raw = _raw_key(item)
+        if raw and not raw.startswith(_PREFIXES):
+            return None
+        key_text = repr(raw[:MAX_KEY_BYTES])
+        return store.Change(revision, fault=f'key {key_text}, {fault}')
+    if key.startswith(protocol.EVACUATION_PREFIX):
+        return store.Change(
+            revision,
+            fault=fault,
+            data_centre=key.removeprefix(protocol.EVACUATION_PREFIX),
+            is_removed=item.values_by_field.get('deleted', False),
+        )
+    if key.startswith(protocol.UPSTREAM_PREFIX):
+        instance = key.removeprefix(protocol.UPSTREAM_PREFIX)
+        return store.Change(revision, instance=instance, fault=fault)
+    if key == protocol.CONFIGURATION_KEY:
+        return store.Change(revision, fault=f'configuration: {fault}')
+    return None
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,8 @@
 import asyncio
+import base64
 import contextlib
+import json
+from urllib import parse
 
 import pytest
 
@@ -69,6 +72,107 @@
     await server.stop()
 
 
+class RawStore:
+    """Answers with items as they are encoded here, a page for each prefix."""
+
+    def __init__(self, *raw_items):
+        self.raw_items = raw_items
+
+    async def __call__(self, scope, receive, send):
+        await receive()
+        query = parse.parse_qs(scope['query_string'])
+        prefix = query.get(b'prefix', [b''])[0]
+        name = b'events' if scope['path'] == '/-/kv-watch' else b'items'
+        body = b'{"%s": [%s], "has_more": false, "as_of": 40}' % (
+            name,
+            b', '.join(i for i in self.raw_items if prefix in i),
+        )
+        length = (('content-length', str(len(body))),)
+        await fakes.send_head(send, 200, length)
+        await fakes.send_chunk(send, body, False)
+
+
+@contextlib.asynccontextmanager
+async def client_of(answers):
+    server = http_server.HttpServer(answers, '127.0.0.1:0')
+    await server.start()
+    host, port = server.address.rsplit(':', 1)
+    pool = connections.ConnectionPool()
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        yield store_client.HttpStoreClient(host, int(port), pool)
+    pool.close()
+    await server.abort()
+
+
+def encode_item(key, value, revision):
+    encoded = base64.b64encode(json.dumps(value).encode())
+    return b'{"key": "%s", "rev": %d, "value": "%s"}' % (
+        key.encode(),
+        revision,
+        encoded,
+    )
+
+
+CONFIGURATION_ITEM = encode_item('op/config', fakes.CONFIGURATION, 35)
+EVACUATION_ITEM = encode_item('op/evacuate/z', {}, 36)
+DEEP = b'[' * 3000 + b']' * 3000
+UNREADABLE_ITEMS = [
+    b'{"key": "servers/i-1", "rev": 31, "value": "\xff"}',
+    b'{"key": "servers/i-1", "rev": 31, "value": "\\ud800"}',
+    b'{"key": "servers/i-1", "rev": 31, "value": null}',
+    b'{"key": "servers/i-1", "rev": 31, "value": {"a": [1, "]}"]}}',
+    b'{"key": "servers/i-1", "rev": 31, "value": NaN}',
+    b'{"key": "servers/i-1", "rev": 31, "value": %s}' % DEEP,
+    b'{"key": "servers/i-1", "rev": 31.5, "value": ""}',
+    b'{"key": "servers/i-1", "value": ""}',
+    b'{"key": "servers/i-1", "rev": 31, "deleted": null}',
+    b'{"key": "op/config", "rev": 31, "value": null}',
+    b'{"key": "op/config", "rev": 31, "deleted": null}',
+    b'{"key": "servers/\xff", "rev": 31, "value": ""}',
+    b'{"key": "servers/\\ud800", "rev": 31, "value": ""}',
+    b'{"key": null, "rev": 31, "value": "servers/"}',
+    b'{"key": 7, "rev": 31, "value": "op/config"}',
+    b'{"key": {"servers/": 1}, "rev": 31, "value": ""}',
+    b'{"rev": 31, "value": "servers/"}',
+    b'"servers/i-1"',
+    b'["op/config", null]',
+]
+
+
+@pytest.mark.parametrize('item', UNREADABLE_ITEMS, ids=range(19))
+async def test_unreadable_item_leaves_the_others(item):
+    """Guards against a store that is followed no more for one bad item."""
+    raw = RawStore(item, CONFIGURATION_ITEM, EVACUATION_ITEM)
+    async with client_of(raw) as client:
+        for result in (await client.read(), await client.watch(30, 0.1)):
+            changes = result.ok.changes
+            assert result.ok.revision == 40
+            assert [c.data_centre for c in changes if c.data_centre] == ['z']
+            (configured,) = filter(lambda c: c.configuration, changes)
+            assert configured.configuration.version == 3
+            (unreadable,) = filter(lambda c: c.fault, changes)
+            assert unreadable.upstream is None
+            assert unreadable.configuration is None
+            names_it = b'"key": "servers/i-1"' in item
+            assert unreadable.instance == ('i-1' if names_it else '')
+            assert unreadable.revision in (31, 40)
+
+
+@pytest.mark.parametrize(
+    'field',
+    [b'NaN', b'"\xff"', b'"\\udfff"', b'"]}\\""', DEEP],
+    ids=range(5),
+)
+async def test_field_that_is_not_read_may_be_unreadable(field):
+    """Guards against a configuration that is ignored for it."""
+    item = CONFIGURATION_ITEM[:-1] + b', "created": %s}' % field
+    async with client_of(RawStore(item, EVACUATION_ITEM)) as client:
+        for result in (await client.read(), await client.watch(30, 0.1)):
+            changes = sorted(result.ok.changes)
+            assert [c.revision for c in changes] == [35, 36]
+            assert changes[0].configuration.version == 3
+
+
 async def test_read_whose_page_trickles_makes_no_progress():
     """The daemon then gives the call up, and asks its peers."""
     progress = []
