Follow the store on although a hook or a change fails

What callers saw: one that is possible on the code before. Once a service raises when it is told of a change, or a change raises where it is applied, the daemon refuses keys (503 keys_unproved), answers 404 on added routes, keeps upstreams that are gone, and does not recover.

Cause: the position and the verification come after the hooks and the changes, in one run of the task that follows the store. The task is run again and asks from the same revision, so the same change fails for ever.

Change: - A hook that raises is reported, keeps neither the other hooks nor the position back, and is called again every 0.5 s until it succeeds. After three failures in a row the daemon is not ready until it does. - A registration that cannot be applied names no upstream, as one that is unreadable, and those after it are applied. - A configuration that cannot be adopted is tried again at each answer of the store. Registrations go on; nothing is verified meanwhile, as the configuration may withdraw keys, so keys are refused and the daemon is not ready after its bound. Calls are 0.25 s apart then.

Evidence: failed before, pass now: test_hook_that_raises_keeps_nothing_from_following_the_store (503 for a key in force) and test_change_that_cannot_be_applied_keeps_nothing_back (a removed upstream in use after 8 s).

--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -281,7 +281,7 @@
             try:
                 await service.stop()
             except Exception as error:  # noqa: BLE001
-                self._report_failure(Failure(service.name, 'stop', error))
+                self.report_failure(Failure(service.name, 'stop', error))
             await self._cancel_tasks(service.name)
         for callback in self.on_stopped:
             callback()
@@ -316,7 +316,7 @@
                 return
             error = done.exception()
             if error is not None:
-                self._report_failure(Failure(service, task, error))
+                self.report_failure(Failure(service, task, error))
 
         running_task.add_done_callback(on_done)
         return running_task
@@ -374,7 +374,7 @@
                 error = raised
             if _is_cancelled():
                 raise asyncio.CancelledError
-            self._report_failure(Failure(service, task, error))
+            self.report_failure(Failure(service, task, error))
             now = self.clock.monotonic()
             before = self._health_by_task.get(key)
             failures = 1
@@ -405,7 +405,8 @@
         order = graphlib.TopologicalSorter(graph).static_order()
         return [self._services_by_name[name] for name in order]
 
-    def _report_failure(self, failure: Failure) -> None:
+    def report_failure(self, failure: Failure) -> None:
+        """Log a failure, count it, and pass it to `on_failure`."""
         self.failure_count += 1
         self.failures.append(failure)
         del self.failures[:-MAX_KEPT_FAILURES]
--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -138,6 +138,7 @@
         return (
             not self.stopping
             and not self._app.is_impaired
+            and not self._store_view.is_impaired
             and self._store_view.configuration is not None
             and self._store_view.staleness() < self._max_staleness_seconds
         )
--- a/corianderspar/router/registrations.py
+++ b/corianderspar/router/registrations.py
@@ -82,6 +82,9 @@
     ----------
     log : callable
         Called with the name and the fields of each event.
+    report : callable
+        Called with the name and the exception of a change that could not be
+        applied. It names no upstream then, like one that is unreadable.
 
     Attributes
     ----------
@@ -93,10 +96,15 @@
         Revision in the present era after which all single changes are known.
     """
 
-    def __init__(self, log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        log: Callable[..., None],
+        report: Callable[[str, Exception], None],
+    ) -> None:
         self.upstreams_by_instance: dict[str, model.Upstream] = {}
         self.complete_after = 0
         self._log = log
+        self._report = report
         self._entries_by_instance: dict[str, _Entry] = {}
         self._removals_due_by_instance: dict[str, float] = {}
         self._admissions_due_by_instance: dict[str, float] = {}
@@ -187,7 +195,7 @@
             del self._entries_by_instance[instance]
             self._remove(instance, 'missing', position.era, now, outage_at)
         for change in by_instance.values():
-            self._apply(change, position.era, now, outage_at, is_copy=True)
+            self._try_to_apply(change, position.era, now, outage_at, True)
         for instance, memory in memories_by_instance.items():
             upstream = self.upstreams_by_instance.get(instance)
             if (
@@ -213,7 +221,7 @@
     ) -> None:
         """Apply changes of an era; other parameters as in `apply_snapshot`."""
         for change in changes:
-            self._apply(change, era, now, outage_at, is_copy=False)
+            self._try_to_apply(change, era, now, outage_at, False)
         self._drop_oldest_tombstones()
 
     def mark_leaving(self, upstream: model.Upstream, era: int) -> bool:
@@ -260,6 +268,23 @@
                 self._add(entry.upstream, entry.position.revision)
         return bool(removals or admissions)
 
+    def _try_to_apply(
+        self,
+        change: store.Change,
+        era: int,
+        now: float,
+        outage_at: float,
+        is_copy: bool,
+    ) -> None:
+        """Apply a change; one that fails does not keep back those after."""
+        try:
+            self._apply(change, era, now, outage_at, is_copy=is_copy)
+        except Exception as error:  # noqa: BLE001
+            self._report(f'registration {change.instance}', error)
+            self.upstreams_by_instance.pop(change.instance, None)
+            self._removals_due_by_instance.pop(change.instance, None)
+            self._admissions_due_by_instance.pop(change.instance, None)
+
     def _apply(
         self,
         change: store.Change,
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -28,6 +28,7 @@
 from corianderspar import kernel
 from corianderspar import peers
 from corianderspar.router import adopted_configuration
+from corianderspar.router import change_hooks
 from corianderspar.router import evacuations
 from corianderspar.router import membership
 from corianderspar.router import model
@@ -132,6 +133,15 @@
     ask_at: float
 
 
+class _Unapplied(NamedTuple):
+    """A configuration that could not be adopted, as for `_adopt`."""
+
+    configuration: model.Configuration
+    era: int
+    source: str
+    is_partial: bool
+
+
 class StoreView:
     """The service ``beliefs``: follows the store.
 
@@ -180,7 +190,10 @@
         self._verification = verification.Verification(
             start_policy is StartPolicy.PEERS_AT_FIRST_START
         )
-        self._registrations = registrations.Registrations(self._log)
+        self._unapplied: _Unapplied | None = None
+        self._registrations = registrations.Registrations(
+            self._log, self._report_failure
+        )
         self._evacuations = evacuations.Evacuations(self._log)
         self._answered_at = float('-inf')
         self._outage_at = float('-inf')
@@ -196,6 +209,7 @@
         self._app = app
         self._membership = app.find('fleet', membership.Membership)
         self._peers = app.find('peers', peers.Peers)
+        self._hooks = change_hooks.ChangeHooks(app, self.name)
         self._relays = relays.Relays(app, self._membership, WATCH_SECONDS)
         self._peers.handle(
             'want', state_messages.StateRequest, self._on_state_request
@@ -248,6 +262,11 @@
         """Return the seconds since this state was verified as the newest."""
         return self._app.clock.monotonic() - self.verified_at
 
+    @property
+    def is_impaired(self) -> bool:
+        """Whether services cannot take up what the store says."""
+        return self._hooks.is_failing
+
     def describe_doubt(self) -> dict[str, str]:
         """Return why the state is old, as fields of a log line.
 
@@ -314,6 +333,9 @@
             self._notify_upstreams_changed()
         return is_new
 
+    def _report_failure(self, what: str, error: Exception) -> None:
+        self._app.report_failure(kernel.Failure(self.name, what, error))
+
     def _log(self, name: str, **fields: object) -> None:
         self._app.events.add(name, **fields)
 
@@ -454,12 +476,18 @@
             )
             return
         self.store_outcomes.add('ok')
+        if self._unapplied is not None:
+            self._adopt(*self._unapplied)
         is_new_era = self._enter_era(found.era, 'store')
         self._record_answer(clock.monotonic())
         if is_new_era and not is_snapshot:
             # The changes are those since the same revision of another era.
             return
         self._apply(found, is_snapshot)
+        if self._unapplied is not None:
+            # Nothing is verified without the newest configuration.
+            await clock.sleep(STORE_RETRY_SECONDS)
+            return
         verified_at = began
         min_hold = wait * LONG_POLL_SHARE
         if not found.changes and clock.monotonic() - began >= min_hold:
@@ -532,8 +560,8 @@
         self._notify_upstreams_changed()
 
     def _notify_upstreams_changed(self) -> None:
-        for hook in self.on_upstreams_change:
-            hook()
+        for number, hook in enumerate(self.on_upstreams_change):
+            self._hooks.call('on_upstreams_change', number, hook)
 
     def _enter_era(self, era: int, source: str, age: float = 0.0) -> bool:
         """Adopt the era of an answer; return whether it is a new one.
@@ -779,15 +807,35 @@
         configuration: model.Configuration,
         era: int,
         source: str,
-        *,
         is_partial: bool = False,
-    ) -> None:
+    ) -> bool:
+        """Adopt a configuration unless the one in force is as new.
+
+        Returns
+        -------
+        bool
+            False if that failed. It is tried again at each answer of the
+            store, until it or a newer one is adopted.
+        """
         before = self._adopted.version
-        outcome = self._adopted.offer(
-            configuration, era, is_partial=is_partial
-        )
+        try:
+            outcome = self._adopted.offer(
+                configuration, era, is_partial=is_partial
+            )
+        except Exception as error:  # noqa: BLE001
+            self._report_failure('configuration', error)
+            self._unapplied = _Unapplied(
+                configuration, era, source, is_partial
+            )
+            return False
+        unapplied = self._unapplied
+        if (
+            unapplied is not None
+            and configuration.version >= unapplied.configuration.version
+        ):
+            self._unapplied = None
         if outcome is adopted_configuration.Outcome.KNOWN:
-            return
+            return True
         self._log(
             f'configuration.{outcome.value}',
             version=configuration.version,
@@ -796,8 +844,13 @@
             source=source,
         )
         if self.configuration is configuration:
-            for hook in self.on_configuration_adopted:
-                hook(configuration)
+            for number, hook in enumerate(self.on_configuration_adopted):
+                self._hooks.call(
+                    'on_configuration_adopted',
+                    number,
+                    functools.partial(hook, configuration),
+                )
+        return True
 
     async def _maintain(self) -> None:
         """Apply what is due; ask peers while the store is lost."""
@@ -805,6 +858,7 @@
             await self._app.clock.sleep(MAINTENANCE_SECONDS)
             now = self._app.clock.monotonic()
             self._log_if_unverified()
+            self._hooks.retry_due()
             is_changed = self._registrations.apply_due(now, self.position.era)
             if self._evacuations.apply_due(now, self.position.era):
                 is_changed = True
@@ -974,13 +1028,14 @@
         began : float
             Monotonic seconds at which the request was sent.
         """
-        if state.configuration is not None:
-            self._adopt(
-                state.configuration,
-                state.configuration_era,
-                vm,
-                is_partial=not state.has_cold_state,
-            )
+        if state.configuration is not None and not self._adopt(
+            state.configuration,
+            state.configuration_era,
+            vm,
+            not state.has_cold_state,
+        ):
+            self.peer_outcomes.add('unapplied', vm)
+            return
         position = state.position
         if position < self.position or position.era < self._verification.era:
             self.peer_outcomes.add('behind', vm)
--- a/tests/router/test_registrations.py
+++ b/tests/router/test_registrations.py
@@ -30,7 +30,8 @@
         self.now = 100.0
         self.events = []
         self.found = registrations.Registrations(
-            lambda name, **_fields: self.events.append(name)
+            lambda name, **_fields: self.events.append(name),
+            lambda name, _error: self.events.append(name),
         )
         self.snapshot(1, 10, *changes)
 
--- a/tests/router/test_task_failures.py
+++ b/tests/router/test_task_failures.py
@@ -11,6 +11,7 @@
 from corianderspar.router import membership  # noqa: H306
 from tests.router import system
 
+FAILED = 'service.failed'
 NESTED = b'\x91' * 5000 + b'\x01'  # arrays of one entry, nested 5,000 deep
 
 
@@ -94,6 +95,94 @@
     run_fleet(main)
 
 
+def test_hook_that_raises_keeps_nothing_from_following_the_store():
+    """Guards against a daemon that fails at the same change for ever."""
+
+    async def main(fleet):
+        view = fleet.store_view('vm1')
+        configurations, hooks, heard = [], [], []
+
+        def adopt(configuration):
+            if hooks:
+                fail()
+            configurations.append(configuration.version)
+
+        def notice():
+            if hooks:
+                fail()
+
+        view.on_configuration_adopted.insert(0, adopt)
+        view.on_upstreams_change.insert(0, notice)
+        view.on_upstreams_change.append(lambda: heard.append(1))
+        hooks.append(1)
+        fleet.store.publish(
+            system.configuration(2, keys_by_account={'parish': ('k2',)})
+        )
+        fleet.store.remove('s1')
+        await asyncio.sleep(6.0)
+        assert (await fleet.request('vm1', '/look/x', 'k2')).status == 200
+        assert 's1' not in view.upstreams_by_instance
+        assert heard
+        assert not fleet.edge('vm1').is_ready
+        assert fleet.edge('vm2').is_ready
+        tasks = {e.fields['task'] for e in fleet.events('vm1', FAILED)}
+        assert tasks == {
+            'on_configuration_adopted[0]',
+            'on_upstreams_change[0]',
+        }
+        hooks.clear()
+        await asyncio.sleep(1.0)
+        assert configurations == [2]
+        assert fleet.edge('vm1').is_ready
+
+    run_fleet(main)
+
+
+def test_change_that_cannot_be_applied_keeps_nothing_back():
+    """Guards against a daemon that fails at the same change for ever."""
+
+    async def main(fleet):
+        view = fleet.store_view('vm1')
+        offer, apply = view._adopted.offer, view._registrations._apply
+
+        def fail_at_version_2(configuration, *arguments, **keywords):
+            if configuration.version == 2:
+                fail()
+            return offer(configuration, *arguments, **keywords)
+
+        def fail_at_bad(change, *arguments, **keywords):
+            if change.instance == 'bad':
+                fail()
+            apply(change, *arguments, **keywords)
+
+        view._adopted.offer = fail_at_version_2
+        view._registrations._apply = fail_at_bad
+        fleet.store.register(system.upstream('bad'))
+        fleet.store.remove('s1')
+        await asyncio.sleep(8.0)
+        assert 's1' not in view.upstreams_by_instance
+        assert (await fleet.request('vm1', '/look/x')).status == 200
+        assert fleet.edge('vm1').is_ready
+        # Nothing is vouched for without the newest configuration.
+        fleet.store.publish(
+            system.configuration(2, keys_by_account={'parish': ('k2',)})
+        )
+        fleet.store.register(system.upstream('s3'))
+        await asyncio.sleep(6.0)
+        assert 's3' in view.upstreams_by_instance
+        assert (await fleet.request('vm1', '/look/x')).status == 503
+        assert not fleet.edge('vm1').is_ready
+        calls = view.store_calls
+        await asyncio.sleep(10.0)
+        assert view.store_calls - calls < 50
+        fleet.store.publish(system.configuration(3))
+        await asyncio.sleep(1.0)
+        assert (await fleet.request('vm1', '/look/x')).status == 200
+        assert fleet.edge('vm1').is_ready
+
+    run_fleet(main)
+
+
 @pytest.mark.parametrize('step', ['provide', 'accept'])
 def test_failing_section_leaves_the_rest_of_heartbeats(step):
     """Guards against daemons that seem dead for what one service holds."""
