Cancel a task that hangs, and run it again

What callers saw: one that is possible on the code before. A task that a daemon lives by awaits something that never comes: the daemon refuses keys and answers 404 on added routes until it is restarted.

Cause: a task that ends is run again, but nobody noticed one that hangs. A call may outlive its timeout if something below it loses the cancellation.

Change: Application.keep_running takes the longest silence of a task, 5 s for those that work at least once a second, and the task calls report_progress. One that is silent for longer is logged (service.silent, with the place where it waits), cancelled, reported as a failure and run again. The daemon is not ready until it makes progress.

Silence is counted in the time in which the process runs: each report checks the other tasks, and a gap between two checks counts as 1 s at most. So a process that was stopped, or whose VM was suspended, finds no task silent when it goes on. No timer or task is added; the readiness page checks too, should all tasks hang. Watched are the two tasks of the store's state, those of heartbeats, placement, permits, and idle connections. Not watched is what may wait without a bound: receiving from peers, placement of plain requests.

Evidence: test_task_that_hangs_is_cancelled_and_run_again failed before for both tasks, passes now; test_frozen_process_has_no_task_that_hangs (process stopped for 2 to 60 s, in series) holds. The router's tests of the store, registrations, relays, restarts and the edge, the platform's and the kernel's: 0 failures, known red ones aside.

--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -15,6 +15,7 @@
 
 from corianderspar import clock as clocks
 from corianderspar import timeline
+from corianderspar import watchdog
 
 T = TypeVar('T')
 
@@ -22,6 +23,7 @@
 RESTART_SECONDS = 0.5  # from the failure of a task to its next run
 SOUND_SECONDS = 5.0  # a task that runs for longer is no longer failing
 MAX_FAILURES_IN_ROW = 3  # from which on the application is impaired
+MAX_SILENCE_SECONDS = 5.0  # of a task that works at least once a second
 MAX_KEPT_FAILURES = 100
 MAX_PLACES = 5  # innermost calls that the log shows of a task that waits
 
@@ -110,6 +112,10 @@
     """A task that a service depends on returned."""
 
 
+class TaskSilentError(Exception):
+    """A task that a service depends on made no progress."""
+
+
 class Failure(NamedTuple):
     """Exception raised by a task or by the ``stop`` of a service."""
 
@@ -220,6 +226,7 @@
         self._services_by_name: dict[str, Service] = {}
         self._running: list[Service] = []
         self._tasks_by_service: dict[str, set[asyncio.Task[Any]]] = {}
+        self._watchdog = watchdog.Watchdog(self.clock, self._on_silent)
         self._health_by_task: dict[tuple[str, str], _Health] = {}
 
     def add(self, service: Service) -> None:
@@ -326,6 +333,7 @@
         service: str,
         task: str,
         run: Callable[[], Coroutine[Any, Any, Any]],
+        max_silence: float | None = None,
     ) -> asyncio.Task[Any]:
         """Run a coroutine function as a task, and again whenever it ends.
 
@@ -343,12 +351,47 @@
         run : callable
             Returns the coroutine. A new run must be able to go on with the
             state that a failed one left.
+        max_silence : float or None
+            Seconds of running time between two calls of `report_progress` by
+            the task, beyond which it is taken to hang: it is cancelled and
+            run again. None for a task that may wait without a bound.
+        """
+        running_task = self.spawn(
+            service, task, self._run_again(service, task, run)
+        )
+        if max_silence is not None:
+            self._watchdog.watch(running_task, max_silence)
+        return running_task
+
+    def report_progress(self) -> None:
+        """Record that the current task does not hang; see `keep_running`.
+
+        Does nothing in a task that is not watched.
         """
-        return self.spawn(service, task, self._run_again(service, task, run))
+        self._watchdog.report()
+
+    def check_progress(self) -> None:
+        """Look for tasks that hang, should all of them do."""
+        self._watchdog.check()
+
+    def _on_silent(self, task: asyncio.Task[Any], seconds: float) -> None:
+        service, _colon, name = task.get_name().partition(':')
+        self.events.add(
+            'service.silent',
+            service=service,
+            task=name,
+            seconds=f'{seconds:.2f}',
+            waits_at=waiting_place(task),
+        )
 
     @property
     def is_impaired(self) -> bool:
-        """Whether a task that the services depend on fails again and again."""
+        """Whether a task that the services depend on fails again and again.
+
+        So does one that hung, until it makes progress.
+        """
+        if self._watchdog.has_silent:
+            return True
         if not self._health_by_task:
             return False
         since = self.clock.monotonic() - SOUND_SECONDS
@@ -372,6 +415,8 @@
                 error = TaskEndedError(f'task {task!r} of {service!r} ended')
             except (Exception, asyncio.CancelledError) as raised:  # noqa: BLE001
                 error = raised
+            if self._watchdog.end_run():
+                error = TaskSilentError(f'task {task!r} of {service!r} hung')
             if _is_cancelled():
                 raise asyncio.CancelledError
             self.report_failure(Failure(service, task, error))
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -134,7 +134,9 @@
         for status_server in self._status_servers:
             await status_server.start()
         await self._callers.start()
-        self.app.keep_running('pool', 'sweep', self._sweep)
+        self.app.keep_running(
+            'pool', 'sweep', self._sweep, kernel.MAX_SILENCE_SECONDS
+        )
         self.app.events.add(
             'daemon.started',
             callers=self.settings.callers,
@@ -286,6 +288,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+            self.app.report_progress()
             self._pool.close_idle()
 
     def _apply_limits(self, configuration: model.Configuration) -> None:
@@ -293,6 +296,7 @@
         self._callers.set_head_timeout(configuration.limits.header_seconds)
 
     def _read_readiness(self) -> tuple[int, bytes]:
+        self.app.check_progress()
         return (200 if self._edge.is_ready else 503), b''
 
     def _read_metrics(self) -> tuple[int, bytes]:
--- a/corianderspar/router/membership.py
+++ b/corianderspar/router/membership.py
@@ -188,7 +188,12 @@
         self._app = app
         self._peers = app.find('peers', peers.Peers)
         self._peers.handle('beat', Heartbeat, self._on_heartbeat)
-        app.keep_running(self.name, 'beat', self._send_heartbeats)
+        app.keep_running(
+            self.name,
+            'beat',
+            self._send_heartbeats,
+            kernel.MAX_SILENCE_SECONDS,
+        )
 
     async def stop(self) -> None:
         """Notify the peers that this daemon leaves."""
@@ -341,6 +346,7 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
+            self._app.report_progress()
             self._forget_silent()
             self._reconnect_silent()
             if self.is_large and not self._is_broadcast_due:
--- a/corianderspar/router/placement.py
+++ b/corianderspar/router/placement.py
@@ -219,7 +219,9 @@
         self._membership.extra_targets.append(self._homes_to_inform)
         self._membership.on_ended.append(self._remove_owner)
         self._store_view.on_upstreams_change.append(self._update_engines)
-        app.keep_running(self.name, 'pump', self._run)
+        app.keep_running(
+            self.name, 'pump', self._run, kernel.MAX_SILENCE_SECONDS
+        )
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -598,6 +600,7 @@
     async def _run(self) -> None:
         """Check backlogs and reservations periodically."""
         while True:
+            self._app.report_progress()
             schedulers = self._schedulers_by_service.values()
             if any(
                 service_scheduler.backlog_size()
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -57,6 +57,8 @@
 MIN_HOLD_SECONDS = 0.25
 BATCH_SECONDS = 0.05  # changes within it go out in one reply
 FRESH_SECONDS = 0.1  # a state that was verified within is the newest
+# Of the two tasks; twice the longest wait for a part of an answer.
+MAX_SILENCE_SECONDS = 5.0
 STALE_SECONDS = 3.0  # a long poll, both holds of `relays`, and delays
 # A relay whose last call to the store failed less than that ago is cut off.
 RELAY_OUTAGE_SECONDS = 1.0
@@ -225,8 +227,12 @@
             self._log, app.clock, self.store_outcomes, self.peer_outcomes
         )
         self._step_at = app.clock.monotonic()
-        self._follow_task = app.keep_running(self.name, 'follow', self._follow)
-        app.keep_running(self.name, 'tend', self._maintain)
+        self._follow_task = app.keep_running(
+            self.name, 'follow', self._follow, MAX_SILENCE_SECONDS
+        )
+        app.keep_running(
+            self.name, 'tend', self._maintain, MAX_SILENCE_SECONDS
+        )
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -350,6 +356,7 @@
             if not self._membership.is_large:
                 return
         while not self.position.revision:
+            self._app.report_progress()
             remaining = began + limit - clock.monotonic()
             if remaining <= 0:
                 break
@@ -395,6 +402,7 @@
             await self._start_from_peers()
         while True:
             self._step_at = clock.monotonic()
+            self._app.report_progress()
             source = self._relays.choose()
             if source.role is relays.Role.READER or not self.position.revision:
                 # A reader whose state is late, as it has just become one,
@@ -445,6 +453,7 @@
             wait = max(min(wait, remaining), MIN_WATCH_SECONDS)
         is_snapshot = not self._has_snapshot
         self.store_calls += 1
+        self._app.report_progress()
         if is_snapshot:
             result = await self._call_store(
                 self._client.read, 2 * STORE_TIMEOUT_SECONDS
@@ -765,6 +774,7 @@
             async with asyncio.timeout(seconds) as timeout:
 
                 def extend() -> None:
+                    self._app.report_progress()
                     due = loop.time() + STORE_TIMEOUT_SECONDS
                     before = timeout.when() or 0.0
                     timeout.reschedule(min(max(before, due), latest))
@@ -857,6 +867,7 @@
         while True:
             await self._app.clock.sleep(MAINTENANCE_SECONDS)
             now = self._app.clock.monotonic()
+            self._app.report_progress()
             self._log_if_unverified()
             self._hooks.retry_due()
             is_changed = self._registrations.apply_due(now, self.position.era)
--- a/corianderspar/router/upstream_permits.py
+++ b/corianderspar/router/upstream_permits.py
@@ -490,12 +490,15 @@
         if self._is_watching or not any(s.has_cold_state for s in services):
             return
         self._is_watching = True
-        self._app.keep_running(self.name, 'watch', self._watch)
+        self._app.keep_running(
+            self.name, 'watch', self._watch, kernel.MAX_SILENCE_SECONDS
+        )
 
     async def _watch(self) -> None:
         """Note breaks of this daemon, and ends of cold states."""
         while True:
             await self._app.clock.sleep(WATCH_SECONDS)
+            self._app.report_progress()
             gap = self._continuity.note(self._app.clock.monotonic())
             if gap:
                 self._app.events.add('permits.unsettled', gap=f'{gap:.1f}')
--- a/tests/router/test_task_failures.py
+++ b/tests/router/test_task_failures.py
@@ -183,6 +183,62 @@
     run_fleet(main)
 
 
+@pytest.mark.parametrize('task', ['follow', 'tend'])
+def test_task_that_hangs_is_cancelled_and_run_again(task):
+    """Guards against a daemon that waits for what never comes."""
+
+    async def main(fleet):
+        view = fleet.store_view('vm1')
+        client = store_client(fleet, 'vm1')
+        watch, ask = client.watch, view._ask_peer
+
+        async def hang(*_arguments):
+            client.watch, view._ask_peer = watch, ask
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                if task == 'tend':
+                    raise
+                await asyncio.Event().wait()  # the call's timeout is lost
+
+        if task == 'follow':
+            client.watch = hang
+        else:
+            view._ask_peer = hang
+            fleet.store.refused_vms.add('vm1')
+        ready = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            ready.append(fleet.edge('vm1').is_ready)
+        assert not all(ready)
+        assert ready[-1]
+        fleet.store.publish(system.configuration(2))
+        await asyncio.sleep(2.0)
+        assert view.configuration.version == 2
+        assert fleet.edge('vm1').is_ready
+        (line,) = fleet.events('vm1', 'service.silent')
+        assert line.fields['task'] == task
+        assert 'test_task_failures.py' in line.fields['waits_at']
+
+    run_fleet(main)
+
+
+def test_frozen_process_has_no_task_that_hangs():
+    """Guards against work that is cancelled since its VM was suspended."""
+
+    async def main(fleet):
+        selector = asyncio.get_running_loop()._time_selector
+        for seconds in (3.0, 60.0, 2.0, 2.0, 2.0, 2.0, 2.0, 2.0):
+            selector.now += seconds  # all that was due comes due at once
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(3.0)
+        for vm in fleet.apps_by_vm:
+            assert not fleet.events(vm, 'service.silent')
+            assert fleet.edge(vm).is_ready
+
+    run_fleet(main)
+
+
 @pytest.mark.parametrize('step', ['provide', 'accept'])
 def test_failing_section_leaves_the_rest_of_heartbeats(step):
     """Guards against daemons that seem dead for what one service holds."""
