--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -28,6 +28,7 @@
 from corianderspar import kernel
 from corianderspar import peers
 from corianderspar.router import adopted_configuration
+from corianderspar.router import change_hooks
 from corianderspar.router import evacuations
 from corianderspar.router import membership
 from corianderspar.router import model
@@ -56,6 +57,8 @@
 MIN_HOLD_SECONDS = 0.25
 BATCH_SECONDS = 0.05  # changes within it go out in one reply
 FRESH_SECONDS = 0.1  # a state that was verified within is the newest
+# Of the two tasks; twice the longest wait for a part of an answer.
+MAX_SILENCE_SECONDS = 5.0
 STALE_SECONDS = 3.0  # a long poll, both holds of `relays`, and delays
 # A relay whose last call to the store failed less than that ago is cut off.
 RELAY_OUTAGE_SECONDS = 1.0
@@ -132,6 +135,15 @@
     ask_at: float
 
 
+class _Unapplied(NamedTuple):
+    """A configuration that could not be adopted, as for `_adopt`."""
+
+    configuration: model.Configuration
+    era: int
+    source: str
+    is_partial: bool
+
+
 class StoreView:
     """The service ``beliefs``: follows the store.
 
@@ -180,7 +192,10 @@
         self._verification = verification.Verification(
             start_policy is StartPolicy.PEERS_AT_FIRST_START
         )
-        self._registrations = registrations.Registrations(self._log)
+        self._unapplied: _Unapplied | None = None
+        self._registrations = registrations.Registrations(
+            self._log, self._report_failure
+        )
         self._evacuations = evacuations.Evacuations(self._log)
         self._answered_at = float('-inf')
         self._outage_at = float('-inf')
@@ -196,6 +211,7 @@
         self._app = app
         self._membership = app.find('fleet', membership.Membership)
         self._peers = app.find('peers', peers.Peers)
+        self._hooks = change_hooks.ChangeHooks(app, self.name)
         self._relays = relays.Relays(app, self._membership, WATCH_SECONDS)
         self._peers.handle(
             'want', state_messages.StateRequest, self._on_state_request
@@ -211,8 +227,12 @@
             self._log, app.clock, self.store_outcomes, self.peer_outcomes
         )
         self._step_at = app.clock.monotonic()
-        self._follow_task = app.keep_running(self.name, 'follow', self._follow)
-        app.keep_running(self.name, 'tend', self._maintain)
+        self._follow_task = app.keep_running(
+            self.name, 'follow', self._follow, MAX_SILENCE_SECONDS
+        )
+        app.keep_running(
+            self.name, 'tend', self._maintain, MAX_SILENCE_SECONDS
+        )
 
     async def stop(self) -> None:
         """Do nothing: there is nothing to hand off."""
@@ -248,6 +268,11 @@
         """Return the seconds since this state was verified as the newest."""
         return self._app.clock.monotonic() - self.verified_at
 
+    @property
+    def is_impaired(self) -> bool:
+        """Whether services cannot take up what the store says."""
+        return self._hooks.is_failing
+
     def describe_doubt(self) -> dict[str, str]:
         """Return why the state is old, as fields of a log line.
 
@@ -314,6 +339,9 @@
             self._notify_upstreams_changed()
         return is_new
 
+    def _report_failure(self, what: str, error: Exception) -> None:
+        self._app.report_failure(kernel.Failure(self.name, what, error))
+
     def _log(self, name: str, **fields: object) -> None:
         self._app.events.add(name, **fields)
 
@@ -328,6 +356,7 @@
             if not self._membership.is_large:
                 return
         while not self.position.revision:
+            self._app.report_progress()
             remaining = began + limit - clock.monotonic()
             if remaining <= 0:
                 break
@@ -373,6 +402,7 @@
             await self._start_from_peers()
         while True:
             self._step_at = clock.monotonic()
+            self._app.report_progress()
             source = self._relays.choose()
             if source.role is relays.Role.READER or not self.position.revision:
                 # A reader whose state is late, as it has just become one,
@@ -423,6 +453,7 @@
             wait = max(min(wait, remaining), MIN_WATCH_SECONDS)
         is_snapshot = not self._has_snapshot
         self.store_calls += 1
+        self._app.report_progress()
         if is_snapshot:
             result = await self._call_store(
                 self._client.read, 2 * STORE_TIMEOUT_SECONDS
@@ -454,12 +485,18 @@
             )
             return
         self.store_outcomes.add('ok')
+        if self._unapplied is not None:
+            self._adopt(*self._unapplied)
         is_new_era = self._enter_era(found.era, 'store')
         self._record_answer(clock.monotonic())
         if is_new_era and not is_snapshot:
             # The changes are those since the same revision of another era.
             return
         self._apply(found, is_snapshot)
+        if self._unapplied is not None:
+            # Nothing is verified without the newest configuration.
+            await clock.sleep(STORE_RETRY_SECONDS)
+            return
         verified_at = began
         min_hold = wait * LONG_POLL_SHARE
         if not found.changes and clock.monotonic() - began >= min_hold:
@@ -532,8 +569,8 @@
         self._notify_upstreams_changed()
 
     def _notify_upstreams_changed(self) -> None:
-        for hook in self.on_upstreams_change:
-            hook()
+        for number, hook in enumerate(self.on_upstreams_change):
+            self._hooks.call('on_upstreams_change', number, hook)
 
     def _enter_era(self, era: int, source: str, age: float = 0.0) -> bool:
         """Adopt the era of an answer; return whether it is a new one.
@@ -737,6 +774,7 @@
             async with asyncio.timeout(seconds) as timeout:
 
                 def extend() -> None:
+                    self._app.report_progress()
                     due = loop.time() + STORE_TIMEOUT_SECONDS
                     before = timeout.when() or 0.0
                     timeout.reschedule(min(max(before, due), latest))
@@ -779,15 +817,35 @@
         configuration: model.Configuration,
         era: int,
         source: str,
-        *,
         is_partial: bool = False,
-    ) -> None:
+    ) -> bool:
+        """Adopt a configuration unless the one in force is as new.
+
+        Returns
+        -------
+        bool
+            False if that failed. It is tried again at each answer of the
+            store, until it or a newer one is adopted.
+        """
         before = self._adopted.version
-        outcome = self._adopted.offer(
-            configuration, era, is_partial=is_partial
-        )
+        try:
+            outcome = self._adopted.offer(
+                configuration, era, is_partial=is_partial
+            )
+        except Exception as error:  # noqa: BLE001
+            self._report_failure('configuration', error)
+            self._unapplied = _Unapplied(
+                configuration, era, source, is_partial
+            )
+            return False
+        unapplied = self._unapplied
+        if (
+            unapplied is not None
+            and configuration.version >= unapplied.configuration.version
+        ):
+            self._unapplied = None
         if outcome is adopted_configuration.Outcome.KNOWN:
-            return
+            return True
         self._log(
             f'configuration.{outcome.value}',
             version=configuration.version,
@@ -796,15 +854,22 @@
             source=source,
         )
         if self.configuration is configuration:
-            for hook in self.on_configuration_adopted:
-                hook(configuration)
+            for number, hook in enumerate(self.on_configuration_adopted):
+                self._hooks.call(
+                    'on_configuration_adopted',
+                    number,
+                    functools.partial(hook, configuration),
+                )
+        return True
 
     async def _maintain(self) -> None:
         """Apply what is due; ask peers while the store is lost."""
         while True:
             await self._app.clock.sleep(MAINTENANCE_SECONDS)
             now = self._app.clock.monotonic()
+            self._app.report_progress()
             self._log_if_unverified()
+            self._hooks.retry_due()
             is_changed = self._registrations.apply_due(now, self.position.era)
             if self._evacuations.apply_due(now, self.position.era):
                 is_changed = True
@@ -974,13 +1039,14 @@
         began : float
             Monotonic seconds at which the request was sent.
         """
-        if state.configuration is not None:
-            self._adopt(
-                state.configuration,
-                state.configuration_era,
-                vm,
-                is_partial=not state.has_cold_state,
-            )
+        if state.configuration is not None and not self._adopt(
+            state.configuration,
+            state.configuration_era,
+            vm,
+            not state.has_cold_state,
+        ):
+            self.peer_outcomes.add('unapplied', vm)
+            return
         position = state.position
         if position < self.position or position.era < self._verification.era:
             self.peer_outcomes.add('behind', vm)
