Read everything when the changes of the store can't be used

Callers of added routes got 404 and those with a key 503 until the store dropped its history. A watch covers all keys, so what other systems write counts too: an answer above 8 MB was refused as too long, and the same one, or a larger one, asked for again. The same holds for an answer that can't be told apart into items.

The client names this case (`unusable`). The view then reads everything, as after a compaction, but after the usual pause, and logs `store.unusable`. A read that can't be used stays `unreachable`, as nothing else is left to ask for. Answers that are too long raise an error of their own (`connections.TooLongError`), so that one that was broken off for the sake of other bodies is not among them.

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -95,6 +95,8 @@
                     on_progress,
                 )
                 if page.is_error():
+                    if page.error.code == 'unusable':
+                        return _failed_read(page.error.detail, page.error.era)
                     return Error(page.error)
                 if on_progress is not None:
                     on_progress()
@@ -152,6 +154,8 @@
             response = await self._pool.send(self._host, self._port, request)
             async with response:
                 body = await response.read(MAX_BODY_BYTES, on_progress)
+        except connections.TooLongError as error:
+            return Error(store.StoreError('unusable', error.detail))
         except connections.UpstreamError as error:
             return Error(store.StoreError('unreachable', error.detail))
         stated_era = response.header(protocol.STORE_ERA)
@@ -177,7 +181,7 @@
                 lenient_json.decode_struct, body, reply_type
             )
         except ValueError as error:
-            return Error(store.StoreError('unreachable', f'answer: {error}'))
+            return Error(store.StoreError('unusable', f'answer: {error}', era))
         return Ok((reply, era))
 
 
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -75,6 +75,13 @@
         self.is_alive = is_alive
 
 
+class TooLongError(UpstreamError):
+    """The response is longer than its reader allows."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True, is_alive=True)
+
+
 def _no_answer(detail: str) -> UpstreamError:
     """Return the error for bytes that are no answer, or too many."""
     return UpstreamError(detail, sent=True, is_alive=True)
@@ -341,7 +348,7 @@
                     if on_progress is not None:
                         on_progress()
                 if len(body) > max_bytes:
-                    raise _no_answer('body too long')
+                    raise TooLongError('body too long')
                 self._pool.set_gathered(self, len(body), max_bytes)
             return bytes(body)
         finally:
@@ -400,7 +407,7 @@
                 self._is_at_end = not data
                 self._received_bytes += len(data)
                 if self._received_bytes > self._max_bytes:
-                    raise _no_answer(
+                    raise TooLongError(
                         f'answer longer than {self._max_bytes} bytes'
                     )
                 self._parser.receive_data(data)
--- a/corianderspar/router/store.py
+++ b/corianderspar/router/store.py
@@ -33,8 +33,9 @@
     ----------
     code : str
         ``unreachable``, ``refused`` (the store is up and rejected the call),
-        ``compacted`` (it does not have the requested changes) or
-        ``era_changed`` (a new era began during the call).
+        ``compacted`` (it does not have the requested changes), ``unusable``
+        (the answer with the changes is too large or can't be decoded, and
+        would be again) or ``era_changed`` (a new era began during the call).
     detail : str
         For the log.
     era : int
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -731,6 +731,16 @@
             return
         if error.code == 'era_changed':
             return
+        if error.code == 'unusable':
+            self._log(
+                'store.unusable',
+                detail=error.detail,
+                revision=self.position.revision,
+            )
+            # The same changes would be unusable again.
+            self._has_snapshot = False
+            await self._app.clock.sleep(STORE_RETRY_SECONDS)
+            return
         if not self._is_store_lost:
             self._is_store_lost = True
             self._log('store.lost', code=error.code, detail=error.detail)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -75,17 +75,19 @@
 class RawStore:
     """Answers with items as they are encoded here, a page for each prefix."""
 
-    def __init__(self, *raw_items):
+    def __init__(self, *raw_items, tail=b'}'):
         self.raw_items = raw_items
+        self.tail = tail
 
     async def __call__(self, scope, receive, send):
         await receive()
         query = parse.parse_qs(scope['query_string'])
         prefix = query.get(b'prefix', [b''])[0]
         name = b'events' if scope['path'] == '/-/kv-watch' else b'items'
-        body = b'{"%s": [%s], "has_more": false, "as_of": 40}' % (
+        body = b'{"%s": [%s], "has_more": false, "as_of": 40%s' % (
             name,
             b', '.join(i for i in self.raw_items if prefix in i),
+            self.tail,
         )
         length = (('content-length', str(len(body))),)
         await fakes.send_head(send, 200, length)
@@ -173,6 +175,23 @@
             assert changes[0].configuration.version == 3
 
 
+@pytest.mark.parametrize(
+    'answers',
+    [
+        RawStore(EVACUATION_ITEM, tail=b''),
+        RawStore(EVACUATION_ITEM + b']'),
+        RawStore(EVACUATION_ITEM + b'"'),
+        RawStore(*([b'{}'] * 20_000)),
+        RawStore(encode_item('my/other', 'x' * 7 * 1024 * 1024, 31)),
+    ],
+    ids=['cut', 'bracket', 'string', 'many', 'large'],
+)
+async def test_changes_that_stay_unusable_are_told_from_an_outage(answers):
+    """Guards against asking for the same changes again for ever."""
+    async with client_of(answers) as client:
+        assert (await client.watch(30, 0.1)).error.code == 'unusable'
+
+
 async def test_read_whose_page_trickles_makes_no_progress():
     """The daemon then gives the call up, and asks its peers."""
     progress = []
--- a/tests/router/test_store_view.py
+++ b/tests/router/test_store_view.py
@@ -1,6 +1,9 @@
 import asyncio
 
+import expression
+
 from corianderspar import clock
+from corianderspar.router import store
 from corianderspar.router import store_view
 from tests.router import system
 
@@ -167,3 +170,32 @@
         assert len(view.upstreams_by_instance) == len(system.UPSTREAMS)
 
     run_fleet(main)
+
+
+def test_changes_that_stay_unusable_are_passed_over_by_a_read():
+    """Guards against asking for the same changes again for ever."""
+
+    async def run():
+        fleet = system.System()
+        client = fleet.store.client('vm1')
+        watch = client.watch
+
+        async def watch_in_vain(*arguments):
+            found = (await watch(*arguments)).ok
+            if found.changes:
+                return expression.Error(store.StoreError('unusable', 'large'))
+            return expression.Ok(found)
+
+        client.watch = watch_in_vain
+        fleet.store.client = lambda _vm: client
+        await fleet.start('vm1')
+        await asyncio.sleep(3.0)
+        fleet.store.publish(system.configuration(9))
+        view = fleet.store_view('vm1')
+        calls = view.store_calls
+        await asyncio.sleep(2.5)
+        assert view.configuration.version == 9
+        assert view.staleness() < 2.0
+        assert view.store_calls - calls < 6
+
+    clock.run_virtual(run())
