Read the store to its end whatever other writers put there

A daemon had no verified state while other writers held more than 32 MB under the registrations or under keys that begin like the configuration's: each read failed with `more than N bytes`, as all values were kept and counted. A read of more than 1000 pages ended as if it were complete.

Pages are converted as they arrive, so that only the small changes are kept. Of registrations, those above 16 KB are faults, and faults don't count as bytes; of more than 1000 faults the rest are told of as a number. What can be used stays bounded by 32 MB. Of the configuration's prefix only the first page is read, as the key itself is the first of all that begin so. A read is given up after 1000 pages of a prefix, and at a key outside of it.

Failed before: both cases of test_entries_of_other_writers_do_not_end_a_read (40 entries of 1 MB, or 40 registrations with 1 MB of padding), and test_pages_without_end_are_an_error.

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -18,9 +18,12 @@
 from corianderspar.router import store
 
 MAX_BODY_BYTES = 8 * 1024 * 1024  # a page holds about 1 MB
-MAX_PAGES = 1000  # of one read; each page holds 50 items or more
-# Keys and values of one read, as encoded; ten times those of 3,300 engines.
+MAX_PAGES = 1000  # of one prefix; those of other writers may hold one item
+# Keys and values of one read that can be used, as encoded; ten times those of
+# 3,300 engines.
 MAX_READ_BYTES = 32 * 1024 * 1024
+MAX_REGISTRATION_BYTES = 16 * 1024  # as encoded; most have a few hundred
+MAX_FAULTS = 1000  # of one read; further ones are counted only
 MAX_KEY_BYTES = 200  # of a key that is logged
 HTTP_GONE = 410  # the revision of a watch was compacted
 
@@ -104,12 +107,19 @@
                 error = reading.add(reply, era)
                 if error is not None:
                     return Error(error)
-                if not reply.has_more or not reply.items:
+                # The configuration is the first of the keys that begin so.
+                if (
+                    not reply.has_more
+                    or not reply.items
+                    or prefix == protocol.CONFIGURATION_KEY
+                ):
                     break
                 before = after
                 after = max(map(_raw_key, reply.items))
-                if after <= before:
+                if after <= before or not after.startswith(prefix.encode()):
                     return _failed_read('pages go back', era)
+            else:
+                return _failed_read(f'more than {MAX_PAGES} pages', era)
         return Ok(reading.finish())
 
     async def watch(
@@ -193,6 +203,7 @@
         self._revision = 0
         self._era = 0
         self._size = 0
+        self._faults = 0
 
     def add(self, page: _RangeReply, era: int) -> store.StoreError | None:
         """Decode a page; return an error if the read can't go on."""
@@ -204,17 +215,28 @@
         self._revision = self._revision or page.as_of
         for item in page.items:
             change = _decode_change(item, _revision(item, self._revision))
-            if isinstance(item, _Item):
-                self._size += len(item.key) + len(item.value)
-            if change is not None:
-                self._changes.append(change)
+            if change is None:
+                continue
+            if change.fault and not change.data_centre:
+                self._faults += 1
+                if self._faults > MAX_FAULTS:
+                    continue
+            elif isinstance(item, _Item):
+                self._size += len(item.key)
+                # The value of an evacuation is not read.
+                self._size += 0 if change.data_centre else len(item.value)
+            self._changes.append(change)
         if self._size > MAX_READ_BYTES:
             detail = f'more than {MAX_READ_BYTES} bytes'
             return store.StoreError('unreachable', detail, era)
         return None
 
     def finish(self) -> store.Changes:
-        """Return all changes."""
+        """Return all changes; further faults are told of as one."""
+        excess = self._faults - MAX_FAULTS
+        if excess > 0:
+            fault = f'{excess} more entries'
+            self._changes.append(store.Change(self._revision, fault=fault))
         return store.Changes(self._revision, tuple(self._changes), self._era)
 
 
@@ -266,6 +288,8 @@
     if item.deleted:
         return store.Change(revision, instance=instance)
     try:
+        if len(item.value) > MAX_REGISTRATION_BYTES:
+            raise store_values.DecodeError(f'{len(item.value)} bytes')
         upstream = store_values.decode_upstream(instance, _decode_value(item))
     except store_values.DecodeError as error:
         return store.Change(revision, instance=instance, fault=str(error))
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -192,6 +192,66 @@
         assert (await client.watch(30, 0.1)).error.code == 'unusable'
 
 
+class LargePages:
+    """Holds entries of other writers, one on a page, then a good one."""
+
+    def __init__(self, value, count):
+        self.value = value
+        self.count = count
+
+    async def __call__(self, scope, receive, send):
+        await receive()
+        query = dict(parse.parse_qsl(scope['query_string'].decode()))
+        number = int(query.get('after', '/').rpartition('/')[2] or 0) + 1
+        item = {'key': f'{query["prefix"]}{number:05}', 'rev': 1}
+        body = {'items': [item], 'has_more': True, 'as_of': 1}
+        if query['prefix'] != 'servers/':
+            body = body | {'items': [], 'has_more': False}
+        elif number <= self.count:
+            item['value'] = self.value
+        else:
+            entry = json.dumps(REGISTRATION).encode()
+            item['value'] = base64.b64encode(entry).decode()
+            body['has_more'] = False
+        await fakes.send_reply(send, 200, body)
+
+
+REGISTRATION = {
+    'service': 's',
+    'addr': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq': 1,
+}
+PADDING = 'x' * 1024 * 1024
+LARGE_REGISTRATION = base64.b64encode(
+    json.dumps(REGISTRATION | {'note': PADDING}).encode()
+).decode()
+
+
+@pytest.mark.parametrize('value', [PADDING, LARGE_REGISTRATION])
+async def test_entries_of_other_writers_do_not_end_a_read(value):
+    """Guards against a daemon that never has a state for their size."""
+    async with client_of(LargePages(value, 40)) as client:
+        changes = (await client.read()).ok.changes
+    assert [c.instance for c in changes if c.upstream] == ['00041']
+    assert sum(bool(c.fault) for c in changes) == 40
+
+
+async def test_pages_without_end_are_an_error(monkeypatch):
+    """Guards against a part of the store that is taken for all of it."""
+    monkeypatch.setattr(store_client, 'MAX_PAGES', 20)
+    monkeypatch.setattr(store_client, 'MAX_FAULTS', 4)
+    async with client_of(LargePages('', 20)) as client:
+        assert (await client.read()).error.code == 'unreachable'
+    async with client_of(LargePages('', 19)) as client:
+        *_, last, excess = (await client.read()).ok.changes
+    assert last.upstream and excess.fault == '15 more entries'
+
+
 async def test_read_whose_page_trickles_makes_no_progress():
     """The daemon then gives the call up, and asks its peers."""
     progress = []
