--- a/tests/router/test_store_view.py
+++ b/tests/router/test_store_view.py
@@ -1,5 +1,6 @@
 import asyncio
 
+from expression import Error
 from expression import Ok
 import pytest
 
@@ -228,3 +229,32 @@
         assert len(view.upstreams_by_instance) == len(system.UPSTREAMS)
 
     run_fleet(main)
+
+
+def test_changes_that_stay_unusable_are_passed_over_by_a_read():
+    """Guards against asking for the same changes again for ever."""
+
+    async def run():
+        fleet = system.System()
+        client = fleet.store.client('vm1')
+        watch = client.watch
+
+        async def watch_in_vain(*arguments):
+            found = (await watch(*arguments)).ok
+            if found.changes:
+                return Error(store.StoreError('unusable', 'large'))
+            return Ok(found)
+
+        client.watch = watch_in_vain
+        fleet.store.client = lambda _vm: client
+        await fleet.start('vm1')
+        await asyncio.sleep(3.0)
+        fleet.store.publish(system.configuration(9))
+        view = fleet.store_view('vm1')
+        calls = view.store_calls
+        await asyncio.sleep(2.5)
+        assert view.configuration.version == 9
+        assert view.staleness() < 2.0
+        assert view.store_calls - calls < 6
+
+    clock.run_virtual(run())
