Use no registration that lacks a field which all engines write

Callers of a route that leads to one service were answered by an engine of another one, for as long as the store held an entry of another writer under that engine's id with the wrong service. The entry lacked `version`, `cold_left_ms` and `seq`, and defaults stood in for them; the protocol says that an entry with missing fields names no engine.

The three fields are required now, like the other five that the protocol states for each entry; `seq` has to be an integer. `phase` is left to those who have one, and `born` is in none of the examples of entries.

--- a/corianderspar/platform/store_values.py
+++ b/corianderspar/platform/store_values.py
@@ -92,13 +92,15 @@
     zone: str
     state: str
     slots: _Slots
+    # Of its software, not of a model's weights.
+    version: str
+    # Milliseconds for which the engine stays cold.
+    cold_left_ms: float
+    # Of the engine's writes; not used, but no engine's entry lacks it.
+    seq: int
     phase: str = ''
     # Unix milliseconds of the start of the process.
     born: _UnixMilliseconds = 0
-    # Of its software, not of a model's weights.
-    version: str = ''
-    # Milliseconds for which the engine stays cold.
-    cold_left_ms: float = 0
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
--- a/tests/platform/test_store_values.py
+++ b/tests/platform/test_store_values.py
@@ -61,8 +61,11 @@
     'service': 's',
     'addr': '10.0.0.1:80',
     'zone': 'z',
-    'state': 'ready',
+    'version': 'v1',
     'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq': 1,
 }
 
 
@@ -71,7 +74,7 @@
         'i-1', json.dumps(REGISTRATION).encode()
     )
     assert upstream == model.Upstream(
-        'i-1', 's', '10.0.0.1', 80, 'z', model.Phase.PLAIN, True, 6
+        'i-1', 's', '10.0.0.1', 80, 'z', model.Phase.PLAIN, True, 6, 0, 'v1'
     )
     cold = REGISTRATION | {'cold_left_ms': 1800}
     found = store_values.decode_upstream('i-1', json.dumps(cold).encode())
@@ -107,6 +110,14 @@
         store_values.decode_upstream('i-1', data)
 
 
+@pytest.mark.parametrize('name', REGISTRATION)
+def test_registration_without_a_field_is_rejected(name):
+    """Guards against an entry of another writer that names an engine."""
+    fields = {n: v for n, v in REGISTRATION.items() if n != name}
+    with pytest.raises(store_values.DecodeError):
+        store_values.decode_upstream('i-1', json.dumps(fields).encode())
+
+
 @pytest.mark.parametrize(
     ('instance', 'change'),
     [
