Bind a stream to the process that began it

What callers saw: an engine returned under its name at another software version, and streams that began there before the store listed the new process were taken for streams of the listed version.

Cause: the version of a stream was read from the registration at its first event. An engine was asked for the start of its process only where a stream was to go on, never where it had begun, and nobody remembered which process that was.

Change: the service process_checks. The processes of an instance follow each other, and a connection leads to one of them. So a report that names the listed process, asked for after the connection of a stream was open, proves that the stream is of that process, and one report proves it for all streams of the engine so far. Where versions are mixed, were so in the last 30 s, or the state is old, it is asked for 0.1 s after a first event, beside the stream. A stream that nobody confirmed goes on only once the listed process reports; else it is broken off, or refused, not run. Keepers know the process that a stream hangs on, and are told if it was confirmed and the stream has broken off, as its engine may be gone. Elsewhere nothing is asked; a stream whose engine is listed at another version by then is refused.

A report's connection is closed after it, so it no longer takes one that is kept for requests.

By reasoning, streams that come singly over new connections cost a report each in a service of mixed versions.

--- a/corianderspar/platform/upstream_calls.py
+++ b/corianderspar/platform/upstream_calls.py
@@ -44,6 +44,7 @@
     def __init__(self, response: connections.Response) -> None:
         self._response = response
         self.status = response.status
+        self.connected_at = response.connected_at
         self.is_genuine = response.header(protocol.RESPONSE_STAMP) is not None
         self.is_framed = (
             response.status in STATUSES_WITHOUT_BODY
@@ -111,9 +112,12 @@
                 (protocol.EXPECT_INSTANCE, upstream.instance.encode()),
             ),
         )
+        # Its connection is closed afterwards, as it echoes no request, so it
+        # does not take one that is kept for requests.
+        key = f'{upstream.instance}/report'
         try:
             response = await self._pool.send(
-                upstream.host, upstream.port, http_request, upstream.instance
+                upstream.host, upstream.port, http_request, key
             )
             self._report_notice(upstream, response, is_health_report=True)
             async with response:
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -12,6 +12,7 @@
 from corianderspar.router import placement
 from corianderspar.router import plain_calls
 from corianderspar.router import plain_placement
+from corianderspar.router import process_checks
 from corianderspar.router import quarantine
 from corianderspar.router import rate_limiter
 from corianderspar.router import retries
@@ -118,6 +119,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         ),
         quarantine.Quarantine(adapters.calls),
+        process_checks.ProcessChecks(adapters.calls),
         stream_origins.StreamOrigins(
             bounds.start_policy is store_view.StartPolicy.PEERS_AT_FIRST_START
         ),
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -117,6 +117,7 @@
         self.recent_echoes: collections.deque[tuple[bytes, bytes]] = (
             collections.deque(maxlen=RECENT_REQUESTS)
         )
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_timeout = IDLE_TIMEOUT_SECONDS
         self.is_lost = False
@@ -130,6 +131,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.opened_at = asyncio.get_running_loop().time()
         connected_socket = transport.get_extra_info('socket')
         with contextlib.suppress(OSError):
             # Without it, a connection across a network partition looks alive
@@ -230,11 +232,14 @@
         Status code of the final response.
     headers : tuple of (bytes, bytes)
         Names in lower case.
+    connected_at : float
+        Seconds of the event loop at which its connection was open.
     """
 
     def __init__(
         self, pool: 'ConnectionPool', key: str, connection: _Connection
     ) -> None:
+        self.connected_at = connection.opened_at
         self.status = 0
         self.headers: Headers = ()
         self._pool = pool
--- a/corianderspar/router/engine_calls.py
+++ b/corianderspar/router/engine_calls.py
@@ -13,6 +13,7 @@
 from corianderspar.router import jobs
 from corianderspar.router import model
 from corianderspar.router import placement
+from corianderspar.router import process_checks
 from corianderspar.router import quarantine
 from corianderspar.router import request_context
 from corianderspar.router import retries
@@ -34,7 +35,6 @@
 SHUTDOWN_WAIT_SECONDS = 1.0  # for engines, while this daemon shuts down
 HOLD_REUSE_SHARE = 0.6  # of a prompt's hold time, for a retry to fetch it
 RELEASE_TIMEOUT_SECONDS = 1.0  # for an engine to free a KV cache
-PROCESS_CHECK_SECONDS = 0.3  # for an engine to tell which process it is
 
 
 class _Prefilled(NamedTuple):
@@ -131,6 +131,7 @@
         'notices',
         'permits',
         'placement',
+        'process_checks',
         'quarantine',
         'retries',
         'stream_origins',
@@ -152,6 +153,9 @@
         self._telemetry = app.find('telemetry', telemetry.Telemetry)
         self._notices = app.find('notices', upstream_notices.UpstreamNotices)
         self._permits = app.find('permits', upstream_permits.UpstreamPermits)
+        self._process_checks = app.find(
+            'process_checks', process_checks.ProcessChecks
+        )
         self._origins = app.find(
             'stream_origins', stream_origins.StreamOrigins
         )
@@ -170,11 +174,27 @@
         """
         self._quarantine.check(context)
         self._retry_budgets.deposit(context.matched.service.name)
+        is_whole = False
+        try:
+            await self._run_rounds(context)
+            is_whole = True
+        finally:
+            if context.begun is not None:
+                self._process_checks.end(context.begun)
+                if not is_whole:
+                    self._origins.confirm(context)
+
+    async def _run_rounds(
+        self, context: request_context.RequestContext
+    ) -> None:
         parser = event_stream.EventParser(context.request.after_event)
         excluded: tuple[str, ...] = ()
         result = _RoundResult(False)
         for number in range(MAX_ROUNDS):
-            if number and not self._may_retry(context):
+            if number and not (
+                self._may_retry(context)
+                and await self._is_begin_known(context)
+            ):
                 break
             prefilled = self._unless_expired(result.prefilled)
             reservation: placement.HeldReservation | jobs.Refusal | None = None
@@ -500,35 +520,14 @@
             refused is not None
             or context.origin is None
             or not engine.started_ms
-            or not self._may_be_replaced(engine)
+            or not self._process_checks.may_be_replaced(engine)
         ):
             return refused
-        now = self._app.clock.monotonic()
-        if not await self._permits.may_send(engine, now, is_counted=False):
-            return self._not_sent(context, engine, 'it is cold', prefilled)
-        try:
-            async with asyncio.timeout(PROCESS_CHECK_SECONDS):
-                found = await self._calls.started_ms(engine)
-        except TimeoutError:
-            return self._not_sent(context, engine, 'no report', prefilled)
-        if found.is_error():
-            reason = f'no report: {found.error.detail}'
-            return self._not_sent(context, engine, reason, prefilled)
-        if found.ok != engine.started_ms:
-            reason = f'process of {found.ok}, expected {engine.started_ms}'
+        reason = await self._process_checks.refusal_reason(engine)
+        if reason:
             return self._not_sent(context, engine, reason, prefilled)
         return None
 
-    def _may_be_replaced(self, engine: model.Upstream) -> bool:
-        """Return whether another version may run where an engine did."""
-        if self._store_view.staleness() > store_view.STALE_SECONDS:
-            return True
-        return any(
-            other.version != engine.version
-            for other in self._store_view.upstreams_by_instance.values()
-            if other.service == engine.service
-        )
-
     async def _connect(
         self,
         context: request_context.RequestContext,
@@ -730,7 +729,9 @@
             last=parser.last,
             stage=stage,
         )
-        if not self._may_resume(context):
+        if not (
+            self._may_resume(context) and await self._is_begin_known(context)
+        ):
             return None
         run.progress.is_suspected = True
         self._placement.report(run.prepared.reservation, 'silent', silent)
@@ -813,6 +814,15 @@
                 run.prepared.engine.instance,
             )
 
+    async def _is_begin_known(
+        self, context: request_context.RequestContext
+    ) -> bool:
+        """Return whether it is certain which version began the stream."""
+        begun = context.begun
+        return begun is None or await self._process_checks.has_begun(
+            begun.process, begun.engine.version
+        )
+
     def _may_resume(self, context: request_context.RequestContext) -> bool:
         route = context.matched.route
         return (
@@ -943,6 +953,9 @@
                     context.origin = model.StreamOrigin(
                         engine.service, engine.version
                     )
+                    context.begun = self._process_checks.begin(
+                        engine, answer.connected_at
+                    )
                 if not context.exchange.status:
                     await self._origins.record(context)
                     now = self._app.clock.monotonic()
--- a/corianderspar/router/fakes.py
+++ b/corianderspar/router/fakes.py
@@ -327,6 +327,8 @@
         Number of answers that have not been closed.
     read_answers : int
         Number of answers that were read whole.
+    report_count : int
+        Number of reports that were asked for.
     poison_parts : set of str
         Parts of prompts; an engine that begins an answer to a prompt with
         one of them crashes.
@@ -371,6 +373,7 @@
         self.released_handles: list[str] = []
         self.open_answers = 0
         self.read_answers = 0
+        self.report_count = 0
 
     def client(self, vm: str) -> 'FakeUpstreamCalls':
         """Return the client of a VM."""
@@ -496,6 +499,7 @@
         self, upstream: model.Upstream
     ) -> Result[int, upstreams.Failure]:
         """Return the start of the process that an upstream runs now."""
+        self._upstreams.report_count += 1
         connected = await self.connect(upstream)
         if connected.is_error():
             return Error(connected.error)
@@ -598,6 +602,7 @@
         self.status = behaviour.status
         self.is_genuine = behaviour.is_genuine
         self.is_framed = behaviour.is_framed
+        self.connected_at = asyncio.get_running_loop().time()
         self.headers: http_io.Headers = (('served-by', upstream.instance),)
         self._upstreams = fake_upstreams
         self._behaviour = behaviour
--- a/corianderspar/router/request_context.py
+++ b/corianderspar/router/request_context.py
@@ -10,6 +10,7 @@
 from corianderspar.router import model
 from corianderspar.router import plain_scheduler
 from corianderspar.router import poison
+from corianderspar.router import process_checks
 
 DEFAULT_RETRY_SECONDS = 0.4  # ``retry_after`` where no better value is known
 RETRY_SPENT_SECONDS = 0.3  # time spent elsewhere that marks a retrying caller
@@ -123,6 +124,8 @@
     origin : StreamOrigin or None
         What began the stream, once its caller has an event of it. Only an
         upstream of the same service and version may go on with it.
+    begun : BegunStream or None
+        The stream, if it began at an engine within this request.
     crash_checks : set of Task
         Find out whether upstreams of earlier sends crashed.
     probed : tuple of str
@@ -155,6 +158,7 @@
         self.upstream = ''
         self.engine_run: UpstreamRun | None = None
         self.origin: model.StreamOrigin | None = None
+        self.begun: process_checks.BegunStream | None = None
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.probed: tuple[str, ...] = ()
         self.plain_grant: plain_scheduler.HeldGrant | None = None
--- a/corianderspar/router/stream_origins.py
+++ b/corianderspar/router/stream_origins.py
@@ -15,6 +15,10 @@
 does not tell: after a kill of all daemons nobody knows what served before. So
 it has to know all that was in force since the stream may have begun, or to be
 told by a daemon that does.
+
+The version is that of the process which was listed when the stream began.
+Where another process may have begun it, see `process_checks`, the stream goes
+on only if its daemon or the listed process says that it was this one.
 """
 
 import asyncio
@@ -22,6 +26,7 @@
 from collections.abc import AsyncGenerator
 import contextlib
 import hashlib
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -31,6 +36,7 @@
 from corianderspar.router import membership
 from corianderspar.router import model
 from corianderspar.router import origin_history
+from corianderspar.router import process_checks
 from corianderspar.router import request_context
 from corianderspar.router import store_view
 
@@ -49,6 +55,7 @@
 MAX_AGE_TIMEOUTS = 2.0
 MAX_ENTRIES = 16384  # two for each stream, by attempt and by content
 MAX_STREAMS_PER_MESSAGE = 256
+MAX_UNCONFIRMED = 256  # processes of the streams of one content
 # Stands for streams of one key that began at different versions.
 AMBIGUOUS = model.StreamOrigin('', '')
 _CONTENT_PREFIX = 'content/'  # of the keys of streams by their content
@@ -67,6 +74,8 @@
         As in `StreamOrigin`.
     seconds : float
         For which the keeper is to remember it.
+    process : Process
+        What is known of the process that began it.
     """
 
     key: str
@@ -74,6 +83,7 @@
     service: str
     version: str
     seconds: float
+    process: process_checks.Process = process_checks.CONFIRMED
 
 
 class StreamKept(NamedTuple):
@@ -83,9 +93,18 @@
 
 
 class StreamsBegun(NamedTuple):
-    """Tells a keeper that has restarted what it knew."""
+    """Tells a keeper that has restarted what it knew.
+
+    Attributes
+    ----------
+    streams : tuple of StreamBegun
+        The streams, without their processes.
+    processes : tuple of Process
+        Of the streams, in the same order.
+    """
 
-    streams: tuple[StreamBegun, ...]
+    streams: tuple[tuple[str, str, str, str, float], ...]
+    processes: tuple[process_checks.Process, ...] = ()
 
 
 class OriginRequest(NamedTuple):
@@ -106,11 +125,22 @@
 
 
 class OriginReply(NamedTuple):
-    """What a peer knows of a stream; `service` and `version` only if so."""
+    """What a peer knows of a stream; the rest only if so.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether it knows the stream.
+    service, version : str
+        As in `StreamOrigin`.
+    processes : tuple of Process
+        Those that are not confirmed, of all streams of the key.
+    """
 
     is_known: bool
     service: str = ''
     version: str = ''
+    processes: tuple[process_checks.Process, ...] = ()
 
 
 class Lookup(NamedTuple):
@@ -132,6 +162,15 @@
     content: str
     origin: model.StreamOrigin
     expires_at: float
+    # By the keys of attempts, for those that are not confirmed.
+    processes_by_key: dict[str, process_checks.Process]
+
+
+class _Origin(NamedTuple):
+    """What began a stream, and what this hangs on."""
+
+    origin: model.StreamOrigin
+    processes: tuple[process_checks.Process, ...] = ()
 
 
 class StreamOrigins:
@@ -145,7 +184,7 @@
     """
 
     name = 'stream_origins'
-    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs')
+    requires: tuple[str, ...] = ('peers', 'fleet', 'beliefs', 'process_checks')
 
     def __init__(self, is_first_start: bool) -> None:
         self._is_first_start = is_first_start
@@ -159,6 +198,9 @@
         self._membership = app.find('fleet', membership.Membership)
         self._store_view = app.find('beliefs', store_view.StoreView)
         self._peers = app.find('peers', peers.Peers)
+        self._process_checks = app.find(
+            'process_checks', process_checks.ProcessChecks
+        )
         self._peers.handle('stream_begun', StreamBegun, self._on_begun)
         self._peers.add_reply_type('stream_kept', StreamKept)
         self._peers.handle('streams_begun', StreamsBegun, self._on_many_begun)
@@ -187,12 +229,7 @@
             return
         began = self._app.clock.monotonic()
         request = context.request
-        begun = StreamBegun(
-            _key(context.account, request.begun_by or request.request_id),
-            context.fingerprint,
-            *origin,
-            route.timeout + TAKE_UP_SECONDS,
-        )
+        begun = _message(context, origin)
         self._keep(begun)
         keepers = self._keepers(begun.content)
         confirmed_by = '-'
@@ -215,6 +252,23 @@
             seconds=f'{self._app.clock.monotonic() - began:.4f}',
         )
 
+    def confirm(self, context: request_context.RequestContext) -> None:
+        """Tell keepers that the process of a stream was confirmed.
+
+        Its engine may be gone, and its caller may take it up elsewhere.
+        """
+        begun = context.begun
+        if (
+            begun is None
+            or context.origin is None
+            or begun.process != process_checks.CONFIRMED
+        ):
+            return
+        message = _message(context, context.origin)
+        self._keep(message)
+        for vm in self._keepers(message.content):
+            self._peers.tell(vm, message)
+
     async def find(self, context: request_context.RequestContext) -> Lookup:
         """Find out what began a stream that a request takes up."""
         began = self._app.clock.monotonic()
@@ -228,29 +282,31 @@
             request.path,
         )
         source = 'own'
-        origin = self._known(query)
+        found = self._known(query)
         asked: list[str] = []
         replied = 0
-        if origin is None:
+        if found is None:
             source = 'history'
-            origin = await self._only_origin(
+            found = await self._only_origin(
                 query, context.matched.route.timeout
             )
-        if origin is None:
+        if found is None or self._is_doubtful(found):
             asked = self._possible_keepers(query.content)
             async with contextlib.aclosing(
                 self._replies(asked, query, ASK_SECONDS)
             ) as replies:
                 async for vm, reply in replies:
                     replied += 1
-                    if reply.is_known:
-                        source = vm
-                        origin = model.StreamOrigin(
-                            reply.service, reply.version
-                        )
+                    if not reply.is_known:
+                        continue
+                    source = vm
+                    found = _Origin(
+                        model.StreamOrigin(reply.service, reply.version),
+                        reply.processes,
+                    )
+                    if not self._is_doubtful(found):
                         break
-        if origin == AMBIGUOUS:
-            origin = None
+        origin = await self._certain_origin(found)
         self._app.events.add(
             'stream.unknown' if origin is None else 'stream.found',
             request=request.request_id,
@@ -265,7 +321,13 @@
             store_age=f'{self._store_view.staleness():.2f}',
             seconds=f'{self._app.clock.monotonic() - began:.4f}',
         )
-        return Lookup(origin, replied < len(asked) or self._is_cut_off())
+        may_others_know = (
+            replied < len(asked)
+            or self._is_cut_off()
+            # What confirms it may be on the way.
+            or (found is not None and found.origin != AMBIGUOUS)
+        )
+        return Lookup(origin, may_others_know)
 
     def _is_cut_off(self) -> bool:
         """Return whether this daemon hears few of the others, or none."""
@@ -274,18 +336,42 @@
             or self._membership.live_share() < MIN_LIVE_SHARE
         )
 
-    def _known(self, query: OriginRequest) -> model.StreamOrigin | None:
-        return self._kept(query.key or _CONTENT_PREFIX + query.content)
+    def _is_doubtful(self, found: _Origin) -> bool:
+        """Return whether the version is not certain without a report."""
+        return found.origin != AMBIGUOUS and any(
+            self._process_checks.is_doubtful(process, found.origin.version)
+            for process in found.processes
+        )
+
+    async def _certain_origin(
+        self, found: _Origin | None
+    ) -> model.StreamOrigin | None:
+        if found is None or found.origin == AMBIGUOUS:
+            return None
+        certain = await asyncio.gather(
+            *(
+                self._process_checks.has_begun(process, found.origin.version)
+                for process in found.processes
+            )
+        )
+        return found.origin if all(certain) else None
+
+    def _known(self, query: OriginRequest) -> _Origin | None:
+        entry = self._kept(query.key or _CONTENT_PREFIX + query.content)
+        if entry is None:
+            return None
+        processes = set(entry.processes_by_key.values())
+        return _Origin(entry.origin, tuple(sorted(processes)))
 
-    def _kept(self, key: str) -> model.StreamOrigin | None:
+    def _kept(self, key: str) -> _Entry | None:
         entry = self._entries_by_key.get(key)
         if entry is None or entry.expires_at <= self._app.clock.monotonic():
             return None
-        return entry.origin
+        return entry
 
     async def _only_origin(
         self, query: OriginRequest, timeout: float
-    ) -> model.StreamOrigin | None:
+    ) -> _Origin | None:
         """Return what alone can have begun a stream.
 
         Parameters
@@ -297,7 +383,7 @@
 
         Returns
         -------
-        StreamOrigin or None
+        _Origin or None
             None also if this daemon does not know all that was in force from
             when the stream may have begun until now.
         """
@@ -309,21 +395,35 @@
             or not await self._store_view.confirm(STORE_SECONDS)
         ):
             return None
-        return self._history.only_origin(query.host, query.path, since)
+        origin = self._history.only_origin(query.host, query.path, since)
+        return None if origin is None else _Origin(origin)
 
     def _keep(self, begun: StreamBegun) -> None:
         now = self._app.clock.monotonic()
         for key in (begun.key, _CONTENT_PREFIX + begun.content):
             origin = model.StreamOrigin(begun.service, begun.version)
-            known = self._kept(key)
-            if known not in (None, origin):
-                if known != AMBIGUOUS:
+            entry = self._kept(key)
+            processes_by_key = dict(entry.processes_by_key) if entry else {}
+            if begun.process == process_checks.CONFIRMED:
+                processes_by_key.pop(begun.key, None)
+            else:
+                processes_by_key[begun.key] = begun.process
+            if entry is not None and (
+                entry.origin != origin
+                or len(processes_by_key) > MAX_UNCONFIRMED
+            ):
+                if entry.origin != AMBIGUOUS:
                     self._app.events.add(
-                        'stream.ambiguous', key=key, known=known, told=origin
+                        'stream.ambiguous',
+                        key=key,
+                        known=entry.origin,
+                        told=origin,
                     )
                 origin = AMBIGUOUS
+            if origin == AMBIGUOUS:
+                processes_by_key.clear()
             self._entries_by_key[key] = _Entry(
-                begun.content, origin, now + begun.seconds
+                begun.content, origin, now + begun.seconds, processes_by_key
             )
             self._entries_by_key.move_to_end(key)
         while self._entries_by_key:
@@ -398,21 +498,26 @@
     async def _on_many_begun(
         self, _sender: peers.Sender, message: StreamsBegun
     ) -> None:
-        for begun in message.streams:
-            self._keep(begun)
+        missing = len(message.streams) - len(message.processes)
+        processes = (
+            *message.processes,
+            *itertools.repeat(process_checks.CONFIRMED, missing),
+        )
+        for stream, process in zip(message.streams, processes, strict=False):
+            self._keep(StreamBegun(*stream, process=process))
 
     async def _on_request(
         self, _sender: peers.Sender, query: OriginRequest
     ) -> OriginReply:
-        origin = self._known(query)
+        found = self._known(query)
         config = self._store_view.configuration
-        if origin is None and config is not None:
+        if found is None and config is not None:
             route = config.route(query.host, query.path)
             if route is not None:
-                origin = await self._only_origin(query, route.timeout)
-        if origin is None:
+                found = await self._only_origin(query, route.timeout)
+        if found is None:
             return OriginReply(False)
-        return OriginReply(True, *origin)
+        return OriginReply(True, *found.origin, found.processes)
 
     def _remind(self, vm: str) -> None:
         """Tell a peer that has started, or is back, of streams it keeps."""
@@ -420,7 +525,11 @@
         live = self._live_peers()
         streams = [
             StreamBegun(
-                key, entry.content, *entry.origin, entry.expires_at - now
+                key,
+                entry.content,
+                *entry.origin,
+                entry.expires_at - now,
+                entry.processes_by_key.get(key, process_checks.CONFIRMED),
             )
             for key, entry in self._entries_by_key.items()
             if entry.expires_at > now
@@ -429,7 +538,12 @@
         ]
         for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
             chunk = streams[start : start + MAX_STREAMS_PER_MESSAGE]
-            self._peers.tell(vm, StreamsBegun(tuple(chunk)))
+            # A daemon of before reads no process within a stream.
+            message = StreamsBegun(
+                tuple(stream[:5] for stream in chunk),
+                tuple(stream.process for stream in chunk),
+            )
+            self._peers.tell(vm, message)
 
     def _observe_upstreams(self) -> None:
         self._history.observe_upstreams(
@@ -443,6 +557,20 @@
         )
 
 
+def _message(
+    context: request_context.RequestContext, origin: model.StreamOrigin
+) -> StreamBegun:
+    request = context.request
+    begun = context.begun
+    return StreamBegun(
+        _key(context.account, request.begun_by or request.request_id),
+        context.fingerprint,
+        *origin,
+        context.matched.route.timeout + TAKE_UP_SECONDS,
+        begun.process if begun else process_checks.CONFIRMED,
+    )
+
+
 def _key(account: str, request_id: str) -> str:
     """Return a key of a bounded size; identifiers come from callers."""
     digest = hashlib.blake2b(digest_size=12)
--- a/corianderspar/router/upstreams.py
+++ b/corianderspar/router/upstreams.py
@@ -143,6 +143,11 @@
         """Return whether the answer is proven to be the upstream's own."""
         ...
 
+    @property
+    def connected_at(self) -> float:
+        """Return when its connection was open, seconds of the event loop."""
+        ...
+
     @property
     def is_framed(self) -> bool:
         """Return whether the answer states where it ends.
--- a/tests/platform/test_upstream_calls.py
+++ b/tests/platform/test_upstream_calls.py
@@ -363,3 +363,42 @@
         found.ok.close()
     pool.close()
     await server.abort()
+
+
+async def test_report_leaves_the_connections_of_requests_alone():
+    """Guards against a new connection for the request after a report."""
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                echo = b''
+                if b'GET /x' in head:
+                    echo = b'x-request-id: r%d\r\n' % (1 + (b'r2' in head))
+                writer.write(
+                    b'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n'
+                    + echo
+                    + b'\r\n{"born":7}'
+                )
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    upstream = model.Upstream(
+        'i-1', 'llm', '127.0.0.1', port, 'z', model.Phase.DECODE, True, 6
+    )
+    pool = connections.ConnectionPool()
+    calls = upstream_calls.HttpUpstreamCalls(pool)
+    connected_at = set()
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        for number in ('r1', 'r2'):
+            request = REQUEST._replace(request_id=number, target=f'/x{number}')
+            found = (await calls.run(upstream, request, OPTIONS)).ok
+            connected_at.add(found.connected_at)
+            await found.read(100)
+            found.close()
+            assert (await calls.started_ms(upstream)).ok == 7
+    assert len(connected_at) == 1
+    assert pool.opened == 3
+    pool.close()
+    server.close()
--- a/tests/router/test_failover_faults.py
+++ b/tests/router/test_failover_faults.py
@@ -57,6 +57,7 @@
 class ScriptedAnswer:
     is_genuine = True
     is_framed = True
+    connected_at = 0.0
 
     def __init__(self, owner, run, total):
         self.status = run.plan.status
