Ask again for events before an error in their chunk

Cause: the parser advanced the number of the last event while it checked a chunk. If a later event of the chunk was an error, those before it were not passed on, but the next engine was asked to go on after them.

Evidence: the new test failed (last event 4 in place of 2).

Change: an error leaves the number as it was before the chunk, which is what the caller has.

--- a/corianderspar/router/event_stream.py
+++ b/corianderspar/router/event_stream.py
@@ -107,7 +107,13 @@
                 self._incomplete = bytearray(rest)
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise StreamError('event too long')
-        events = [self._check(part) for part in whole]
+        last = self.last
+        try:
+            events = [self._check(part) for part in whole]
+        except StreamError:
+            # The caller does not get those before the error either.
+            self.last = last
+            raise
         return [event for event in events if event is not None]
 
     def discard_incomplete(self) -> None:
--- a/tests/router/test_event_stream.py
+++ b/tests/router/test_event_stream.py
@@ -50,6 +50,18 @@
             parser.feed(encode(40))
 
 
+@pytest.mark.parametrize('number', [b'9', b'9' * 40])
+def test_events_before_an_error_are_asked_for_again(number):
+    """Guards against a piece that is lost with the rest of its chunk."""
+    parser = event_stream.EventParser(None)
+    assert len(parser.feed(encode(1, 2))) == 2
+    with pytest.raises(event_stream.StreamError):
+        parser.feed(encode(3, 4) + b'id: ' + number + b'\ndata: x\n\n')
+    assert parser.last == 2
+    parser.discard_incomplete()
+    assert [e.number for e in parser.feed(encode(3, 4))] == [3, 4]
+
+
 def test_each_engine_may_repeat_the_events_that_the_caller_has():
     parser = event_stream.EventParser(40)
     for _round in range(4):
