Reject integers of the store that no message can hold

A daemon that read a configuration with an integer above 64 bits, or a revision or era of that size, stopped following the store: its digest, or the state that it passes on, can't be encoded, so the task that follows the store raised before its position advanced, and did so again each time it was started.

Such a configuration is a fault now, as other malformed ones, such a revision makes its item one, and an answer with such an era is `unreachable`, with such an `as_of` `unusable` if it is a watch.

Failed before: the nine cases of test_configuration_that_no_message_can_hold_is_rejected, the new cases of test_unreadable_item_leaves_the_others and test_changes_that_stay_unusable_are_told_from_an_outage, and test_era_is_read_from_every_answer with the new eras.

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from typing import Annotated
 from typing import TypeVar
 from urllib import parse
 
@@ -39,9 +40,13 @@
 ReplyT = TypeVar('ReplyT', bound=msgspec.Struct)
 
 
+# What daemons pass on to each other holds integers of 64 bits.
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Item(msgspec.Struct):
     key: str
-    rev: int
+    rev: _Revision
     value: str = ''
     deleted: bool = False
 
@@ -50,12 +55,12 @@
     items: list[_Item]
     has_more: bool
     # The store's revision when this page was read.
-    as_of: int
+    as_of: _Revision
 
 
 class _WatchReply(msgspec.Struct):
     events: list[_Item]
-    as_of: int
+    as_of: _Revision
 
 
 class HttpStoreClient:
@@ -170,8 +175,9 @@
             return Error(store.StoreError('unreachable', error.detail))
         stated_era = response.header(protocol.STORE_ERA)
         try:
-            era = int(stated_era) if stated_era is not None else 0
-        except ValueError:
+            stated = int(stated_era) if stated_era is not None else 0
+            era = msgspec.convert(stated, _Revision)
+        except decoding.ERRORS:
             return Error(
                 store.StoreError('unreachable', f'era {stated_era!r}')
             )
--- a/corianderspar/platform/store_values.py
+++ b/corianderspar/platform/store_values.py
@@ -14,6 +14,7 @@
 from corianderspar.router import model
 
 # What daemons pass on to each other holds integers of 64 bits.
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
 _UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
@@ -34,10 +35,10 @@
     kind: str
     timeout_ms: float
     goal_ms: float = 0
-    priority: int = 0
+    priority: _Integer = 0
     service: str = ''
     split: list[_Split] = []
-    attempts: int = 1
+    attempts: _Integer = 1
     public: bool = False
     resumable: bool = False
     # Longest interval between events that callers want, not between tokens.
@@ -45,9 +46,9 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: _Integer
     # Tokens that fit into the KV cache memory of one engine.
-    kv_tokens: int
+    kv_tokens: _Integer
     # Seconds for which a prefill engine keeps a KV cache to be fetched.
     kv_hold_s: float = 0.5
 
@@ -66,20 +67,20 @@
     # In the `unit` of the account: tokens, not requests, by default.
     rate_per_s: float = 0
     burst: float = 0
-    default_tokens: int = 1
+    default_tokens: _Integer = 1
     unit: str = 'tokens'
-    priority: int | None = None
+    priority: _Integer | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
+    max_header_bytes: _Integer = 16384
+    max_body_bytes: _Integer = 4194304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Account] = []
@@ -97,7 +98,7 @@
     # Milliseconds for which the engine stays cold.
     cold_left_ms: float
     # Of the engine's writes; not used, but no engine's entry lacks it.
-    seq: int
+    seq: _Integer
     phase: str = ''
     # Unix milliseconds of the start of the process.
     born: _UnixMilliseconds = 0
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -128,6 +128,7 @@
     b'{"key": "servers/i-1", "rev": 31.5, "value": ""}',
     b'{"key": "servers/i-1", "value": ""}',
     b'{"key": "servers/i-1", "rev": 31, "deleted": null}',
+    b'{"key": "servers/i-1", "rev": 18446744073709551616, "value": ""}',
     b'{"key": "op/config", "rev": 31, "value": null}',
     b'{"key": "op/config", "rev": 31, "deleted": null}',
     b'{"key": "servers/\xff", "rev": 31, "value": ""}',
@@ -141,7 +142,7 @@
 ]
 
 
-@pytest.mark.parametrize('item', UNREADABLE_ITEMS, ids=range(19))
+@pytest.mark.parametrize('item', UNREADABLE_ITEMS, ids=range(20))
 async def test_unreadable_item_leaves_the_others(item):
     """Guards against a store that is followed no more for one bad item."""
     raw = RawStore(item, CONFIGURATION_ITEM, EVACUATION_ITEM)
@@ -179,12 +180,13 @@
     'answers',
     [
         RawStore(EVACUATION_ITEM, tail=b''),
+        RawStore(EVACUATION_ITEM, tail=b'0000000000000000000}'),
         RawStore(EVACUATION_ITEM + b']'),
         RawStore(EVACUATION_ITEM + b'"'),
         RawStore(*([b'{}'] * 20_000)),
         RawStore(encode_item('my/other', 'x' * 7 * 1024 * 1024, 31)),
     ],
-    ids=['cut', 'bracket', 'string', 'many', 'large'],
+    ids=['cut', 'revision', 'bracket', 'string', 'many', 'large'],
 )
 async def test_changes_that_stay_unusable_are_told_from_an_outage(answers):
     """Guards against asking for the same changes again for ever."""
@@ -327,8 +329,8 @@
             server.status = status
             assert (await client.watch(1, 0.1)).error.era == 7
         server.status = 200
-        server.era = 'x'
-        assert (await client.read()).error.code == 'unreachable'
+        for server.era in ('x', str(2**63), '9' * 5000):
+            assert (await client.read()).error.code == 'unreachable'
     pool.close()
     await server.stop()
 
--- a/tests/platform/test_store_values.py
+++ b/tests/platform/test_store_values.py
@@ -1,9 +1,11 @@
+import copy
 import json
 
 import pytest
 
 from corianderspar.platform import store_values
 from corianderspar.router import model
+from corianderspar.router import state_messages
 from tests.platform import fakes
 
 
@@ -33,6 +35,42 @@
     }
 
 
+def changed_configuration(*path, value):
+    changed = copy.deepcopy(fakes.CONFIGURATION)
+    *parents, name = path
+    entry = changed
+    for parent in parents:
+        entry = entry[parent]
+    entry[name] = value
+    return json.dumps(changed).encode()
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        ('version',),
+        ('routes', 0, 'priority'),
+        ('routes', 0, 'attempts'),
+        ('services', 0, 'engine', 'slots'),
+        ('services', 0, 'engine', 'kv_tokens'),
+        ('tenants', 0, 'default_tokens'),
+        ('tenants', 0, 'priority'),
+        ('limits', 'max_header_bytes'),
+        ('limits', 'max_body_bytes'),
+    ],
+    ids=lambda path: path[-1],
+)
+def test_configuration_that_no_message_can_hold_is_rejected(path):
+    """Guards against a task that ends at it over and over."""
+    data = changed_configuration(*path, value=2**64)
+    with pytest.raises(store_values.DecodeError):
+        store_values.decode_configuration(data)
+    data = changed_configuration(*path, value=2**63 - 1)
+    state_messages.measure_configuration(
+        store_values.decode_configuration(data)
+    )
+
+
 def test_keys_are_stored_as_digests_only():
     configuration = store_values.decode_configuration(
         json.dumps(fakes.CONFIGURATION).encode()
