Let large answers of engines break off none of the store

While callers got many large answers, an answer of the store that was the longest of all bodies being read was broken off for the memory that they take together (16 MB), and the daemon's state aged. The store's client used the connection pool of the calls to engines, which holds that bound.

The gauge `upstream_connections` no longer counts connections to the store.

test_answers_of_engines_do_not_break_off_those_of_the_store failed before: three bodies of 4 MB at engines, an answer of 6.7 MB of the store.

--- a/corianderspar/platform/__main__.py
+++ b/corianderspar/platform/__main__.py
@@ -21,7 +21,12 @@
     """Run the daemon until a signal stops it."""
     pool = connections.ConnectionPool()
     adapters = daemon.PlatformAdapters(
-        platform.HttpStoreClient(initial.store_host, initial.store_port, pool),
+        platform.HttpStoreClient(
+            initial.store_host,
+            initial.store_port,
+            # Answers of upstreams don't break off those of the store.
+            connections.ConnectionPool(),
+        ),
         platform.HttpUpstreamCalls(pool),
         platform.HttpCallerFormat(),
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,7 +1,10 @@
 import pytest
 
 from corianderspar import platform
+from corianderspar.platform import __main__ as program
+from corianderspar.router import daemon
 from corianderspar.router import store_view
+from tests.platform import fakes
 
 VALID_SETTINGS = """
 node = "front-1"
@@ -66,3 +69,39 @@
     path = tmp_path / 'local.toml'
     path.write_text(f'{text}\n{VALID_SETTINGS}')
     assert platform.load(path).ok.router.bounds.start_policy is policy
+
+
+class Body:
+    """Stands for the answer of an engine that is being read."""
+
+    def break_off(self, detail):
+        raise AssertionError(detail)
+
+
+async def test_answers_of_engines_do_not_break_off_those_of_the_store(
+    tmp_path, monkeypatch
+):
+    """Guards against a state that ages while callers get large answers."""
+
+    class Daemon:
+        def __init__(self, _settings, adapters, pool):
+            self.adapters = adapters
+            self.pool = pool
+
+    async def serve(router_daemon, _writer):
+        for _ in range(3):
+            router_daemon.pool.set_gathered(Body(), 4 * 2**20, 4 * 2**20)
+        found.append(await router_daemon.adapters.store.watch(10, 0.1))
+
+    found = []
+    monkeypatch.setattr(daemon, 'Daemon', Daemon)
+    monkeypatch.setattr(daemon, 'serve', serve)
+    server = fakes.FakeStoreServer()
+    path = tmp_path / 'local.toml'
+    path.write_text(
+        VALID_SETTINGS.replace('127.0.0.1:8225', await server.start())
+    )
+    server.write('op/evacuate/z', b'x' * 5 * 2**20)
+    await program.run(platform.load(path).ok, path)
+    assert [c.data_centre for c in found[0].ok.changes] == ['z']
+    await server.stop()
