Check a configuration against the store beside an unreadable entry

The check of a configuration against the one in force failed with "a store that answers" while another writer's entry, under a key that begins like the configuration's, could not be read: the page was decoded as a whole.

Its items are decoded each by itself now, as the daemons do. test_unreadable_neighbour_does_not_hide_the_version_in_force failed before.

--- a/corianderspar/platform/configuration_file.py
+++ b/corianderspar/platform/configuration_file.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from corianderspar import decoding
+from corianderspar import lenient_json
 from corianderspar import problems
 from corianderspar.platform import protocol  # noqa: H306
 from corianderspar.platform import store_values
@@ -51,13 +52,13 @@
             timeout=STORE_TIMEOUT_SECONDS,
         )
         response.raise_for_status()
-        reply = msgspec.json.decode(response.content, type=_RangeReply)
+        reply = lenient_json.decode_struct(response.content, _RangeReply)
     except (httpx.HTTPError, *decoding.ERRORS) as error:
         return Error(
             [problems.Finding(address, str(error), 'a store that answers')]
         )
     for item in reply.items:
-        if item.key == protocol.CONFIGURATION_KEY:
+        if isinstance(item, _Item) and item.key == protocol.CONFIGURATION_KEY:
             return parse(item.value)
     return Error(
         [problems.Finding(address, 'no configuration', 'one in the store')]
--- a/tests/test_check_configuration.py
+++ b/tests/test_check_configuration.py
@@ -109,6 +109,18 @@
     assert 'error: version: a version above 3' in result.stdout
 
 
+async def test_unreadable_neighbour_does_not_hide_the_version_in_force():
+    """Guards against a check that can't be made for another writer's entry."""
+    server = fakes.FakeStoreServer()
+    address = await server.start()
+    server.write('op/config', fakes.CONFIGURATION)
+    server.write('op/config-other', b'')
+    server.entries_by_key['op/config-other']['value'] = None
+    read = await asyncio.to_thread(configuration_file.read_store, address)
+    assert read.ok.version == 3
+    await server.stop()
+
+
 async def test_version_in_force_is_read_from_the_store(tmp_path):
     server = fakes.FakeStoreServer()
     address = await server.start()
