--- a/corianderspar/platform/__main__.py
+++ b/corianderspar/platform/__main__.py
@@ -22,7 +22,10 @@
     """Run the daemon until a signal stops it."""
     pool = connections.ConnectionPool()
     store_client = platform.HttpStoreClient(
-        initial.store_host, initial.store_port, pool
+        initial.store_host,
+        initial.store_port,
+        # Answers of upstreams don't break off those of the store.
+        connections.ConnectionPool(),
     )
     adapters = daemon.PlatformAdapters(
         store_client,
