Give a test's daemon the application that the program adds services to

test_answers_of_engines_do_not_break_off_those_of_the_store failed since the program adds a service that watches the settings: its stand-in for the daemon had no application ('Daemon' object has no attribute 'app'). What it checks is unchanged.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 import pytest
 
 from corianderspar import platform
@@ -87,6 +89,7 @@
         def __init__(self, _settings, adapters, pool):
             self.adapters = adapters
             self.pool = pool
+            self.app = mock.Mock()
 
     async def serve(router_daemon, _writer):
         for _ in range(3):
