Follow a store again whose answers stay behind

After the store returned from an older copy without stating a new era, or one answer of it stated a revision or an era that is too high, all daemons refuse keys, deny added routes and keep upstreams that are gone, for ever.

Cause: an answer below the known position is refused (store.behind), the position never goes down, and peers pass it on. Ways to such a position, by reading: the revision of an answer (as_of) is taken as it is; the era of an answer, also of one that refuses the call, is too; a state of a peer is; the store itself goes back. Not reachable, given answers that are linearizable: calls side by side (each answer is held against the position at its own begin, and the position only rises), and a late answer (a call that is given up aborts its connection, ConnectionPool.send).

Change: once the answers have been behind for 5 s, five of them at least and none below the one before, they are taken as those of an era after the known one. The daemon counts that era beyond those that the store states. All that holds for an era that the store states holds for it: nothing is verified in its first 2 s, everything is read again, peers learn of it, the version of the configuration does not go back. A daemon that learned of the era from a peer takes its own answers to be of it after the same time. Meanwhile calls are 1 s apart, and none waits for a change.

Evidence: test_store_that_stays_behind_is_followed_again, six cases (a copy without an era, a wrong revision, a wrong era, at 3 and 30 daemons), failed before, pass now.

Limits: a daemon that one way shows an older state for 5 s, against the store's promise, begins such an era in the whole fleet. Daemons of an older build learn the era from peers and refuse the store's answers from then on.

--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -37,6 +37,7 @@
 from corianderspar.router import state_messages
 from corianderspar.router import store
 from corianderspar.router import store_contact
+from corianderspar.router import store_returns
 from corianderspar.router import verification
 
 WATCH_SECONDS = 1.5  # of a long poll; a reader makes one call in this time
@@ -192,6 +193,7 @@
         self._verification = verification.Verification(
             start_policy is StartPolicy.PEERS_AT_FIRST_START
         )
+        self._returns = store_returns.StoreReturns()
         self._unapplied: _Unapplied | None = None
         self._registrations = registrations.Registrations(
             self._log, self._report_failure
@@ -451,6 +453,8 @@
             # Another call verifies the state as soon as that is possible.
             remaining = self._verification.rewrite_remaining(began)
             wait = max(min(wait, remaining), MIN_WATCH_SECONDS)
+        if self._returns.is_behind:
+            wait = 0.0  # the store has no change after what is known
         is_snapshot = not self._has_snapshot
         self.store_calls += 1
         self._app.report_progress()
@@ -465,9 +469,12 @@
             )
         if result.is_error():
             self.store_outcomes.add(result.error.code, result.error.detail)
-            await self._handle_failure(result.error)
+            error = result.error
+            await self._handle_failure(
+                error._replace(era=self._returns.era(error.era))
+            )
             return
-        found = result.ok
+        found = result.ok._replace(era=self._returns.era(result.ok.era))
         self.store_answered_at = clock.monotonic()
         if found.era < self._verification.era or found.position < before:
             self._log(
@@ -480,10 +487,15 @@
             self.store_outcomes.add(
                 'behind', f'{found.position} is below {before}'
             )
-            await self._handle_failure(
-                store.StoreError('unreachable', 'answer is behind')
-            )
-            return
+            taken = self._take_as_return(found, before)
+            if taken is None:
+                await clock.sleep(store_returns.RETRY_SECONDS)
+                await self._handle_failure(
+                    store.StoreError('unreachable', 'answer is behind')
+                )
+                return
+            found = taken
+        self._returns.note_sound()
         self.store_outcomes.add('ok')
         if self._unapplied is not None:
             self._adopt(*self._unapplied)
@@ -504,6 +516,32 @@
             verified_at = began + min_hold
         self._verify(verified_at)
 
+    def _take_as_return(
+        self, found: store.Changes, before: store.Position
+    ) -> store.Changes | None:
+        """Return an answer that is behind as one of a new era, if it is one.
+
+        Peers may have begun that era already.
+        """
+        now = self._app.clock.monotonic()
+        seconds = self._returns.note_behind(found.position, now)
+        if not seconds:
+            return None
+        era = self._verification.era
+        if found.era == era:
+            era += 1
+        taken = found._replace(era=era)
+        self._returns.begin_era(found.position, era)
+        self._log(
+            'store.returned',
+            stated_era=found.era,
+            era=era,
+            revision=found.revision,
+            revision_before=before.revision,
+            seconds=f'{seconds:.2f}',
+        )
+        return taken if taken.position >= before else None
+
     def _apply(self, found: store.Changes, is_snapshot: bool) -> None:
         """Apply an answer of the store."""
         for change in found.changes:
--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from expression import Error
+from expression import Ok
 import pytest
 
 from corianderspar import clock
@@ -315,6 +317,74 @@
     run_fleet(main)
 
 
+def lose_without_an_era(fleet):
+    fleet.store.return_from_copy(0.7)
+    fleet.store.era -= 1
+
+
+def answer_once(fleet, answer):
+    """Give a wrong answer to the first call of a watch."""
+    watches_by_vm = {
+        vm: fleet.store_view(vm)._client.watch for vm in fleet.apps_by_vm
+    }
+
+    async def answer_wrong(*_arguments):
+        for vm, watch in watches_by_vm.items():
+            fleet.store_view(vm)._client.watch = watch
+        return answer
+
+    for vm in watches_by_vm:
+        fleet.store_view(vm)._client.watch = answer_wrong
+
+
+def state_wrong_revision(fleet):
+    changes = store.Changes(1_000_000, (), fleet.store.era)
+    answer_once(fleet, Ok(changes))
+
+
+def state_wrong_era(fleet):
+    answer_once(fleet, Error(store.StoreError('refused', era=9)))
+
+
+@pytest.mark.parametrize('daemons', [3, 30])
+@pytest.mark.parametrize(
+    'trouble', [lose_without_an_era, state_wrong_revision, state_wrong_era]
+)
+def test_store_that_stays_behind_is_followed_again(trouble, daemons):
+    """Guards against daemons that refuse each answer for ever."""
+
+    async def main(fleet):
+        fleet.store.publish(
+            system.configuration(5, keys_by_account={'parish': ('k5',)})
+        )
+        for number in range(20):
+            fleet.store.register(system.upstream(f'lost{number}'))
+        await asyncio.sleep(0.5)
+        trouble(fleet)
+        seen = set()
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            seen |= set(versions(fleet))
+        assert min(seen) >= 5  # no withdrawn key comes back
+        fleet.store.publish(
+            system.configuration(6, keys_by_account={'parish': ('k6',)})
+        )
+        fleet.store.register(system.upstream('s9'))
+        await asyncio.sleep(3.0)
+        for vm in fleet.apps_by_vm:
+            view = fleet.store_view(vm)
+            assert view.configuration.version == 6
+            assert 's9' in view.upstreams_by_instance
+            assert fleet.edge(vm).is_ready
+        assert (await fleet.request('vm1', '/look/x', 'k5')).status == 401
+        assert (await fleet.request('vm1', '/look/x', 'k6')).status == 200
+        calls = fleet.store.call_count
+        await asyncio.sleep(10.0)
+        assert fleet.store.call_count - calls <= 3 * 10.0
+
+    run_fleet(main, daemons)
+
+
 class History:
     """A random history of writes, returns, cuts and restarts.
 
