--- a/tests/router/test_process_checks.py
+++ b/tests/router/test_process_checks.py
@@ -79,7 +79,7 @@
 
 
 def test_first_engine_of_a_new_version_is_no_place_to_go_on():
-    """Guards against it being taken for the old version before it is listed."""
+    """Guards against a take-over before its version is listed."""
 
     async def main(fleet):
         by_instance = fleet.store_view('vm1').upstreams_by_instance
