Deny a request only by a state that is new enough

What callers saw: 404 on routes that had been added (848 cases), from daemons that had not verified their state for seconds or minutes, and 401 on keys that had been added, up to 4.7 s after the last verification. Callers do not try again after either.

Cause: the edge matched routes against a state of any age.

Change: a request that no route or key matches is denied only if the state was verified within the time in which a change must be in force (config_ms of the settings, 2 s by default, less 0.3 s). Otherwise the daemon verifies it, which all such requests share, and matches again; if that takes longer than 0.2 s, it answers 503 (routes_unproved, keys_unproved), not run, with the Retry-After of keys_unproved. A request on a known route is served as before. In a large fleet, where followers' states are older than that in calm times too, a daemon asks a reader of the store first, and reads the store once a second at most.

--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -25,6 +25,7 @@
 
 class _Bounds(msgspec.Struct):
     revoke_ms: float = 5000
+    config_ms: float = 2000
     grace_s: float = 8
     budget_ratio: float = 0.2
     # Retries of the whole fleet per window, in addition to the ratio.
@@ -110,6 +111,7 @@
                     else store_view.StartPolicy.PEERS_AT_RESTART,
                     bounds.cold_excess,
                     bounds.cold_slack,
+                    max_change_seconds=bounds.config_ms / 1000,
                 ),
             ),
             host,
--- a/corianderspar/router/assembly.py
+++ b/corianderspar/router/assembly.py
@@ -50,6 +50,8 @@
         requests.
     has_slow_start : bool
         Whether new and returned upstreams get few requests at first.
+    max_change_seconds : float
+        As in `edge.Edge`.
     """
 
     max_staleness_seconds: float = 5.0
@@ -66,6 +68,7 @@
     has_strict_ranks: bool = False
     has_plain_homes: bool = False
     has_slow_start: bool = False
+    max_change_seconds: float = 2.0
 
 
 class Adapters(NamedTuple):
@@ -100,7 +103,9 @@
         Addresses of peers to contact first; some may be down.
     """
     edge_service = edge.Edge(
-        adapters.caller_format, bounds.max_staleness_seconds
+        adapters.caller_format,
+        bounds.max_staleness_seconds,
+        bounds.max_change_seconds,
     )
     for service in (
         peers.Peers(adapters.channel),
--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -33,6 +33,9 @@
 LAST_REQUEST_SECONDS = 3.0
 STOPPING_RETRY_SECONDS = 0.1  # another daemon serves it
 NOT_READY_RETRY_SECONDS = 1.0  # while the configuration is not verified
+# A denial waits for that long for a state that is new enough.
+CONFIRM_SECONDS = 0.2
+DENIALS = (401, 404)  # final words: callers do not try again after them
 STALENESS_MARGIN_SECONDS = 0.3  # for a clock that runs a little slow
 
 
@@ -61,6 +64,9 @@
         Parses request heads and formats error answers.
     max_staleness_seconds : float
         Staleness of the configuration at which keys are no longer accepted.
+    max_change_seconds : float
+        Time after which a change of the configuration has to be in force. No
+        request is denied for good by a state that is older.
 
     Attributes
     ----------
@@ -84,7 +90,10 @@
     )
 
     def __init__(
-        self, caller_format: CallerFormat, max_staleness_seconds: float
+        self,
+        caller_format: CallerFormat,
+        max_staleness_seconds: float,
+        max_change_seconds: float,
     ) -> None:
         self.stopping = False
         self.running = 0
@@ -98,6 +107,9 @@
         self._max_staleness_seconds = (
             max_staleness_seconds - STALENESS_MARGIN_SECONDS
         )
+        self._max_denial_staleness = (
+            max_change_seconds - STALENESS_MARGIN_SECONDS
+        )
 
     async def start(self, app: kernel.Application) -> None:
         """Look up the services that it uses."""
@@ -225,7 +237,7 @@
         ):
             raise _stopping_error()
         request = request._replace(body=body.ok)
-        matched = self._match(request)
+        matched = await self._match_or_confirm(request)
         context = request_context.RequestContext(
             exchange, request, matched, arrived
         )
@@ -283,6 +295,33 @@
             raise _request_error('starting', 503, 'no configuration yet')
         return config
 
+    async def _match_or_confirm(
+        self, request: model.CallerRequest
+    ) -> request_context.RouteMatch:
+        """Match a request; deny it only by a state that is new enough.
+
+        Raises
+        ------
+        RequestError
+            If no route or account matches, or that can't be told.
+        """
+        try:
+            return self._match(request)
+        except request_context.RequestError as error:
+            problem = error.problem
+            if problem.status not in DENIALS:
+                raise
+        # The state may have changed when this returns.
+        if await self._store_view.renew(
+            self._max_denial_staleness, CONFIRM_SECONDS
+        ):
+            return self._match(request)
+        staleness = self._store_view.staleness()
+        message = f'{problem.message}, as of {staleness:.1f} s ago'
+        if problem.status == 404:
+            raise _request_error('routes_unproved', 503, message)
+        raise _request_error('keys_unproved', 503, message)
+
     def _match(
         self, request: model.CallerRequest
     ) -> request_context.RouteMatch:
--- a/corianderspar/router/relays.py
+++ b/corianderspar/router/relays.py
@@ -115,6 +115,16 @@
             self._root_staleness + ROOT_HOLD_SECONDS,
         )
 
+    def random_root(self) -> str:
+        """Return a root relay; empty for a daemon that reads the store."""
+        live = self._membership.live()
+        if len(live) <= membership.SMALL_FLEET_DAEMONS:
+            return ''
+        roots = rendezvous.rank('store', live)[:ROOT_RELAYS]
+        if self._app.identity.vm in roots:
+            return ''
+        return self._app.rng.choice(roots)
+
     def _next_responsive(self, relays: list[str]) -> str:
         """Return the relays by turns, so that one cut off costs one hold."""
         now = self._app.clock.monotonic()
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -207,6 +207,7 @@
         self._fallback_at = float('-inf')
         self._newer_peer: _NewerPeer | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._renewing: asyncio.Task[None] | None = None
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to follow the store."""
@@ -728,6 +729,37 @@
             await asyncio.wait((self._begin_reading(),), timeout=timeout)
         return self.verified_at >= since
 
+    async def renew(self, max_staleness: float, timeout: float) -> bool:
+        """Return whether this state is new enough; if not, verify it first.
+
+        Parameters
+        ----------
+        max_staleness : float
+            Seconds.
+        timeout : float
+            Seconds that it may take.
+        """
+        if self.staleness() < max_staleness:
+            return True
+        if self._renewing is None or self._renewing.done():
+            self._renewing = self._app.spawn(
+                self.name, 'renew', self._renew(max_staleness)
+            )
+        await asyncio.wait((self._renewing,), timeout=timeout)
+        return self.staleness() < max_staleness
+
+    async def _renew(self, max_staleness: float) -> None:
+        """Verify the state; in a large fleet a reader's word may do."""
+        reader = self._relays.random_root()
+        if reader:
+            await self._ask_peer(reader)
+            now = self._app.clock.monotonic()
+            is_due = now - self._fallback_at >= FALLBACK_SECONDS
+            if self.staleness() < max_staleness or not is_due:
+                return
+            self._fallback_at = now
+        await self._read_store(0.0)
+
     def _apply_known(
         self, state: state_messages.StateReply, began: float
     ) -> None:
--- a/tests/router/test_edge.py
+++ b/tests/router/test_edge.py
@@ -53,6 +53,84 @@
     run_fleet(main)
 
 
+def open_route(name):
+    return system.route(name, 'shop', model.RetryPolicy.ALWAYS, public=True)
+
+
+def test_old_state_denies_nothing_for_good():
+    """Guards against callers that give up on a route or key that was added."""
+
+    async def main(fleet):
+        fleet.store.publish(system.configuration(2, [open_route('look')]))
+        await asyncio.sleep(0.5)
+        fleet.store.down = True
+        fleet.store.publish(
+            system.configuration(
+                3, [open_route('look'), open_route('new')], {'new': ('k9',)}
+            )
+        )
+        for staleness in (2.0, 6.0, 30.0):
+            await asyncio.sleep(staleness)
+            answer = await fleet.request('vm1', '/new/x')
+            assert answer.status == 503
+            assert answer.body == b'routes_unproved'
+            assert answer.headers_by_name['ran'] == 'no'
+            assert float(answer.headers_by_name['retry-after']) > 0.0
+            assert (await fleet.request('vm1', '/look/x')).status == 200
+        fleet.store.down = False
+        await asyncio.sleep(1.0)
+        assert (await fleet.request('vm1', '/new/x')).status == 200
+        assert (await fleet.request('vm1', '/none/x')).status == 404
+
+    run_fleet(main)
+
+
+def test_old_state_denies_no_key_for_good():
+    """Guards against callers that give up on a key that was added."""
+
+    async def main(fleet):
+        fleet.store.down = True
+        await asyncio.sleep(2.5)
+        answer = await fleet.request('vm1', '/look/x', 'k9')
+        assert (answer.status, answer.body) == (503, b'keys_unproved')
+        # A key that is known counts up to the bound of its own.
+        assert (await fleet.request('vm1', '/look/x')).status == 200
+        # What follows the store is late, but a call of its own is not.
+        fleet.store.down = False
+        fleet.store.publish(
+            system.configuration(2, keys_by_account={'new': ('k9',)})
+        )
+        answer = await fleet.request('vm1', '/look/x', 'k9')
+        assert answer.status == 200
+
+    run_fleet(main)
+
+
+def test_denials_in_a_large_fleet_make_few_calls():
+    """Guards against a storm of calls by wrong paths."""
+
+    async def main(fleet):
+        calls = {
+            vm: fleet.store_view(vm).store_calls for vm in fleet.apps_by_vm
+        }
+        total = fleet.store.call_count
+        for _ in range(40):
+            await asyncio.sleep(0.25)
+            answers = await asyncio.gather(
+                *(
+                    fleet.request(vm, '/none/x')
+                    for vm in fleet.apps_by_vm
+                    for _request in range(3)
+                )
+            )
+            assert {answer.status for answer in answers} == {404}
+        for vm, before in calls.items():
+            assert fleet.store_view(vm).store_calls - before <= 10
+        assert fleet.store.call_count - total < 2 * 14
+
+    run_fleet(main, 30)
+
+
 def test_body_of_an_unsigned_answer_is_not_read():
     async def main(fleet):
         unsigned = fakes.Behaviour(is_genuine=False)
