Test a take-over by an engine that is not listed at its version yet

What callers see: in a service of one version, the first engine that returns under its name at a new version takes over streams of the old one before the store lists it (ORDER).

--- a/tests/router/test_process_checks.py
+++ b/tests/router/test_process_checks.py
@@ -76,3 +76,22 @@
         assert not streams.mixed(played)
 
     streams.run_fleet(main, streams.engines(1))
+
+
+def test_first_engine_of_a_new_version_is_no_place_to_go_on():
+    """Guards against an engine that goes on before its version is listed."""
+
+    async def main(fleet):
+        by_instance = fleet.store_view('vm1').upstreams_by_instance
+        played = await streams.begin(fleet)
+        engine = by_instance['d2']
+        fleet.upstreams.replace(
+            engine, engine._replace(version='v2', started_ms=6000)
+        )
+        await asyncio.sleep(0.1)
+        fleet.upstreams.reset(by_instance['d1'])
+        for stream in played:
+            await stream.finish()
+        assert len(streams.mixed(played)) <= streams.MAX_MIXED
+
+    streams.run_fleet(main, streams.engines(1))
