Ask an engine which process it is before it takes over a stream

What callers saw: in a service of one version, the first engine that returned under its name at a new version took over streams of the old one before the store listed it (ORDER).

Cause: the engine that is to go on was asked for the start of its process only where the store lists several versions, or the state is old. The first engine of a new version shows neither.

Change: it is asked everywhere. Where versions are mixed it has to report, as before; elsewhere an engine that doesn't report, or is cold, goes on, so that a lost report costs no stream.

In memory, an engine that crashes under its streams in a service of one version, eight waves of 12: 96 of 96 go on, as before, for 48 reports, one for each stream that was taken over (0 before). Streams that are not taken over cost none.

--- a/corianderspar/router/engine_sends.py
+++ b/corianderspar/router/engine_sends.py
@@ -305,7 +305,6 @@
             refused is not None
             or context.origin is None
             or not engine.started_ms
-            or not self._process_checks.may_be_replaced(engine)
         ):
             return refused
         reason = await self._process_checks.refusal_reason(engine)
--- a/corianderspar/router/process_checks.py
+++ b/corianderspar/router/process_checks.py
@@ -12,7 +12,8 @@
 
 Streams are checked where versions are mixed or the state is old. There, one
 that nobody has confirmed may go on only once the process that is listed has
-reported.
+reported. The engine that is to go on with a stream is asked everywhere, as it
+may be the first one of a new version.
 """
 
 import asyncio
@@ -121,13 +122,23 @@
         return mixed_at is not None and now - mixed_at < MIXED_SECONDS
 
     async def refusal_reason(self, engine: model.Upstream) -> str:
+        """Return why a stream may not go on at an engine; or empty.
+
+        Where versions are not mixed, an engine that does not report is taken
+        for the listed process.
+        """
+        return await self._doubt(engine, self.may_be_replaced(engine))
+
+    async def _doubt(self, engine: model.Upstream, must_report: bool) -> str:
         """Return why an engine may not be the listed process; or empty."""
+        if not must_report and self._permits.is_cold(engine):
+            return ''  # a report would take the place of a request
         now = self._app.clock.monotonic()
         if not await self._permits.may_send(engine, now, is_counted=False):
-            return 'it is cold'
+            return 'it is cold' if must_report else ''
         found = await self._report(engine)
         if found.is_error():
-            return found.error
+            return found.error if must_report else ''
         if found.ok != engine.started_ms:
             return _other_process(engine, found.ok)
         return ''
@@ -195,7 +206,7 @@
         if listed is None:
             reason = 'it is not listed'
         elif listed.started_ms == process.started_ms:
-            reason = await self.refusal_reason(listed)
+            reason = await self._doubt(listed, must_report=True)
         if reason:
             self._app.events.add(
                 'stream.unconfirmed',
