Let a task end that is done once it returns

What was seen: 24 tests of the configuration and the rate limiter find failures in applications that are sound. A daemon logs service.failed with TaskEndedError for task=gate every 0.5 s, and is not ready.

Cause: since tasks are run again that end by themselves, so is the one that waits until a daemon has caught up with the configuration, which returns then.

Change: keep_running is told of a task that may return.

Evidence: tests/test_configuration.py and tests/test_rate_limiter.py: 24 failures before, none now, with tests/test_kernel.py and tests/router/test_task_failures.py.

--- a/corianderspar/configuration.py
+++ b/corianderspar/configuration.py
@@ -150,7 +150,7 @@
             SECTION, self._provide_section, self._accept_section
         )
         app.keep_running(self.name, 'pull', self._follow_peers)
-        app.keep_running(self.name, 'gate', self._catch_up)
+        app.keep_running(self.name, 'gate', self._catch_up, may_return=True)
         if self._client is not None:
             reader = platform_reader.PlatformReader(app, self._client, self)
             app.keep_running(self.name, 'list', reader.follow_list)
--- a/corianderspar/kernel.py
+++ b/corianderspar/kernel.py
@@ -334,6 +334,8 @@
         task: str,
         run: Callable[[], Coroutine[Any, Any, Any]],
         max_silence: float | None = None,
+        *,
+        may_return: bool = False,
     ) -> asyncio.Task[Any]:
         """Run a coroutine function as a task, and again whenever it ends.
 
@@ -355,9 +357,11 @@
             Seconds of running time between two calls of `report_progress` by
             the task, beyond which it is taken to hang: it is cancelled and
             run again. None for a task that may wait without a bound.
+        may_return : bool
+            Whether the work is done, and the task ends, once it returns.
         """
         running_task = self.spawn(
-            service, task, self._run_again(service, task, run)
+            service, task, self._run_again(service, task, run, may_return)
         )
         if max_silence is not None:
             self._watchdog.watch(running_task, max_silence)
@@ -405,6 +409,7 @@
         service: str,
         task: str,
         run: Callable[[], Coroutine[Any, Any, Any]],
+        may_return: bool,
     ) -> None:
         key = service, task
         while True:
@@ -412,6 +417,8 @@
             error: BaseException
             try:
                 await run()
+                if may_return:
+                    return
                 error = TaskEndedError(f'task {task!r} of {service!r} ended')
             except (Exception, asyncio.CancelledError) as raised:  # noqa: BLE001
                 error = raised
