Take a limit above all sizes for none

Callers of routes that a version adds got 404 if that version held a size limit that needs more than 64 bits: it was rejected as a whole since daemons can't pass such a number on, though the store had accepted it, and before that it ended the reading of the store. Such a limit bounds nothing, so the largest number stands for it.

The two cases of limits that the test of rejected configurations had asked for the rejection; test_limit_above_all_sizes_is_no_limit asks that they are taken and can be passed on, and failed before. number-huge, five daemons' test of added routes, passes.

--- a/corianderspar/platform/store_values.py
+++ b/corianderspar/platform/store_values.py
@@ -14,7 +14,8 @@
 from corianderspar.router import model
 
 # What daemons pass on to each other holds integers of 64 bits.
-_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_MAX_INTEGER = 2**63 - 1
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=_MAX_INTEGER)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
 _UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
@@ -73,8 +74,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Integer = 16384
-    max_body_bytes: _Integer = 4194304
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
@@ -270,8 +271,8 @@
 
 def _convert_limits(limits: _Limits) -> model.CallerLimits:
     return model.CallerLimits(
-        limits.max_header_bytes,
-        limits.max_body_bytes,
+        min(limits.max_header_bytes, _MAX_INTEGER),
+        min(limits.max_body_bytes, _MAX_INTEGER),
         limits.header_timeout_ms / 1000,
         limits.idle_timeout_ms / 1000,
     )
