Verify nothing by an answer whose configuration could not be read

What callers would have seen: a withdrawn key accepted and an added route denied with 404, for good, by a daemon that is ready. An item of the configuration that could not be read once was passed over since items are decoded each by itself, and the state counted as verified.

Cause: the revision advanced past the change, and nothing asked for it again.

Both cases of test_configuration_that_could_not_be_read_is_read_again fail without the change (the view's part taken back) and pass with it.

Change: such a change is marked. Nothing is verified by that answer, and everything is read again after the usual pause. A readable value that is no configuration is passed over as before, as the store accepts none.

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -282,9 +282,11 @@
         if item.deleted:
             return store.Change(revision, fault='configuration deleted')
         try:
-            configuration = store_values.decode_configuration(
-                _decode_value(item)
-            )
+            value = _decode_value(item)
+        except store_values.DecodeError as error:
+            return _hidden_configuration(revision, str(error))
+        try:
+            configuration = store_values.decode_configuration(value)
         except store_values.DecodeError as error:
             return store.Change(revision, fault=f'configuration: {error}')
         return store.Change(revision, configuration=configuration)
@@ -331,10 +333,16 @@
         instance = key.removeprefix(protocol.UPSTREAM_PREFIX)
         return store.Change(revision, instance=instance, fault=fault)
     if key == protocol.CONFIGURATION_KEY:
-        return store.Change(revision, fault=f'configuration: {fault}')
+        return _hidden_configuration(revision, fault)
     return None
 
 
+def _hidden_configuration(revision: int, why: str) -> store.Change:
+    return store.Change(
+        revision, fault=f'configuration: {why}', hides_configuration=True
+    )
+
+
 def _decode_value(item: _Item) -> bytes:
     try:
         return base64.b64decode(item.value, validate=True)
--- a/corianderspar/router/store.py
+++ b/corianderspar/router/store.py
@@ -66,6 +66,9 @@
         Whether the entry of an evacuation was removed.
     fault : str
         Why the entry could not be decoded; empty if it could.
+    hides_configuration : bool
+        Whether the operator's configuration may be newer than this answer
+        tells, as its item could not be read.
     """
 
     revision: int
@@ -75,6 +78,7 @@
     fault: str = ''
     data_centre: str = ''
     is_removed: bool = False
+    hides_configuration: bool = False
 
 
 class Changes(NamedTuple):
@@ -99,6 +103,11 @@
         """Era and revision from which to watch next."""
         return Position(self.era, self.revision)
 
+    @property
+    def hides_configuration(self) -> bool:
+        """As in `Change`, for any of them."""
+        return any(change.hides_configuration for change in self.changes)
+
 
 ProgressHook = Callable[[], None]
 
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -506,7 +506,9 @@
             # The changes are those since the same revision of another era.
             return
         self._apply(found, is_snapshot)
-        if self._unapplied is not None:
+        if found.hides_configuration:
+            self._has_snapshot = False  # so that it is read again
+        if self._unapplied is not None or found.hides_configuration:
             # Nothing is verified without the newest configuration.
             await clock.sleep(STORE_RETRY_SECONDS)
             return
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -159,6 +159,8 @@
             names_it = b'"key": "servers/i-1"' in item
             assert unreadable.instance == ('i-1' if names_it else '')
             assert unreadable.revision in (31, 40)
+            hides = b'"key": "op/config"' in item
+            assert result.ok.hides_configuration == hides
 
 
 @pytest.mark.parametrize(
--- a/tests/router/test_store_view.py
+++ b/tests/router/test_store_view.py
@@ -262,3 +262,53 @@
         assert view.store_calls - calls < 6
 
     clock.run_virtual(run())
+
+
+@pytest.mark.parametrize('is_started', [True, False])
+def test_configuration_that_could_not_be_read_is_read_again(is_started):
+    """Guards against withdrawn keys that count in a state taken as newest."""
+
+    async def run():
+        fleet = system.System()
+        client = fleet.store.client('vm1')
+        spoilt = []
+
+        def spoiling(call):
+            async def spoil_once(*arguments):
+                found = (await call(*arguments)).ok
+                if spoilt or not any(c.configuration for c in found.changes):
+                    return Ok(found)
+                spoilt.append(1)
+                changes = [
+                    c._replace(
+                        configuration=None,
+                        fault='null',
+                        hides_configuration=True,
+                    )
+                    if c.configuration
+                    else c
+                    for c in found.changes
+                ]
+                return Ok(found._replace(changes=tuple(changes)))
+
+            return spoil_once
+
+        client.watch = spoiling(client.watch)
+        fleet.store.client = lambda _vm: client
+        if is_started:
+            await fleet.start('vm1')
+            await asyncio.sleep(3.0)
+        else:
+            client.read = spoiling(client.read)
+        fleet.store.publish(
+            system.configuration(9, keys_by_account={'parish': ('k2',)})
+        )
+        if not is_started:
+            await fleet.start('vm1')
+        await asyncio.sleep(1.5)
+        assert spoilt
+        assert fleet.store_view('vm1').staleness() < 2.0
+        assert (await fleet.request('vm1', '/look/x', 'k2')).status == 200
+        assert (await fleet.request('vm1', '/look/x', 'k1')).status == 401
+
+    clock.run_virtual(run())
