Scan no answer for so long that its call is given up

What callers would have seen: 404 and 503 for good while the store had many changes, one of which could not be read. The scan for the parts of an answer of 4 MB takes over a second, the call is given up meanwhile, and the same changes are asked for again; the scans went on in threads.

The new case of test_changes_that_stay_unusable_are_told_from_an_outage fails without the bound.

Change: answers above 2 MB, two pages, are not scanned. Changes of that size that can't be decoded are unusable, so everything is read, page by page.

--- a/corianderspar/platform/store_client.py
+++ b/corianderspar/platform/store_client.py
@@ -19,6 +19,9 @@
 from corianderspar.router import store
 
 MAX_BODY_BYTES = 8 * 1024 * 1024  # a page holds about 1 MB
+# Of an answer that is scanned for its parts: two pages. A larger one takes so
+# long that the call would be given up.
+MAX_SCANNED_BYTES = 2 * 1024 * 1024
 MAX_PAGES = 1000  # of one prefix; those of other writers may hold one item
 # Keys and values of one read that can be used, as encoded; ten times those of
 # 3,300 engines.
@@ -195,8 +198,12 @@
             )
         try:
             return Ok((msgspec.json.decode(body, type=reply_type), era))
-        except decoding.ERRORS:
-            pass  # decoded anew, without the parts that can't be read
+        except decoding.ERRORS as error:
+            if len(body) > MAX_SCANNED_BYTES:
+                return Error(
+                    store.StoreError('unusable', f'answer: {error}', era)
+                )
+        # Decoded anew, without the parts that can't be read.
         try:
             # In a thread, as it takes long enough to delay requests.
             reply = await asyncio.to_thread(
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -187,8 +187,9 @@
         RawStore(EVACUATION_ITEM + b'"'),
         RawStore(*([b'{}'] * 20_000)),
         RawStore(encode_item('my/other', 'x' * 7 * 1024 * 1024, 31)),
+        RawStore(b'null', encode_item('my/other', 'x' * 2 * 2**20, 31)),
     ],
-    ids=['cut', 'revision', 'bracket', 'string', 'many', 'large'],
+    ids=['cut', 'revision', 'bracket', 'string', 'many', 'large', 'slow'],
 )
 async def test_changes_that_stay_unusable_are_told_from_an_outage(answers):
     """Guards against asking for the same changes again for ever."""
