Begin to follow the store anew without another start

By reading: a task that is run again waited for the first state of a start, 1 s in a fleet that starts for the first time, although it had one. And a change of the settings between their loading and the first look at the file was missed, if no signal announced it: the first look reads the file again now. Not measured; the tests of starts, settings and processes pass.

--- a/corianderspar/router/settings_watch.py
+++ b/corianderspar/router/settings_watch.py
@@ -40,7 +40,9 @@
     def __init__(self, path: Path, reload: Callable[[], None]) -> None:
         self._path = path
         self._reload = reload
-        self._stamp = self._read_stamp()
+        # The first look reads the file again, as it may have changed since
+        # the settings were loaded.
+        self._stamp: _Stamp | None = None
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to look at the file."""
--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -401,7 +401,8 @@
 
     async def _follow(self) -> None:
         clock = self._app.clock
-        if self._start_policy is not StartPolicy.STORE:
+        is_start = not self.position.revision
+        if is_start and self._start_policy is not StartPolicy.STORE:
             await self._start_from_peers()
         while True:
             self._step_at = clock.monotonic()
