Share the report of an engine among the streams that go on there

What callers would have seen: when an engine crashes under many streams, the engines that are left get a new connection for each of them at the same moment, which counts against the connections that they accept, and streams whose report is late by it are refused where versions are mixed.

Cause: each stream asked for a report of its own before it went on.

Change: those that wait at the same time share one. The proof of where a stream began still asks for one of its own, as its time counts.

--- a/corianderspar/router/process_checks.py
+++ b/corianderspar/router/process_checks.py
@@ -17,6 +17,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from expression import Error
@@ -100,6 +102,9 @@
         # the listed process.
         self._reported_at: dict[tuple[str, int], float] = {}
         self._unconfirmed: dict[tuple[str, int], set[BegunStream]] = {}
+        self._running_reports: dict[
+            tuple[str, int], asyncio.Task[Result[int, str]]
+        ] = {}
 
     async def start(self, app: kernel.Application) -> None:
         """Begin to follow the registrations."""
@@ -127,16 +132,23 @@
         Where versions are not mixed, an engine that does not report is taken
         for the listed process.
         """
-        return await self._doubt(engine, self.may_be_replaced(engine))
+        return await self._doubt(
+            engine, self.may_be_replaced(engine), self._share_report
+        )
 
-    async def _doubt(self, engine: model.Upstream, must_report: bool) -> str:
+    async def _doubt(
+        self,
+        engine: model.Upstream,
+        must_report: bool,
+        report: Callable[[model.Upstream], Awaitable[Result[int, str]]],
+    ) -> str:
         """Return why an engine may not be the listed process; or empty."""
         if not must_report and self._permits.is_cold(engine):
             return ''  # a report would take the place of a request
         now = self._app.clock.monotonic()
         if not await self._permits.may_send(engine, now, is_counted=False):
             return 'it is cold' if must_report else ''
-        found = await self._report(engine)
+        found = await report(engine)
         if found.is_error():
             return found.error if must_report else ''
         if found.ok != engine.started_ms:
@@ -206,7 +218,7 @@
         if listed is None:
             reason = 'it is not listed'
         elif listed.started_ms == process.started_ms:
-            reason = await self._doubt(listed, must_report=True)
+            reason = await self._doubt(listed, True, self._report)
         if reason:
             self._app.events.add(
                 'stream.unconfirmed',
@@ -251,6 +263,23 @@
         finally:
             del self._unconfirmed[key]
 
+    async def _share_report(self, engine: model.Upstream) -> Result[int, str]:
+        """Return what `_report` does, for all that wait at the same time.
+
+        Many streams go on at one engine when another one has crashed.
+        """
+        key = _key(engine)
+        running = self._running_reports.get(key)
+        if running is None:
+            running = self._app.spawn(
+                self.name, 'report', self._report(engine)
+            )
+            self._running_reports[key] = running
+            running.add_done_callback(
+                lambda _done: self._running_reports.pop(key, None)
+            )
+        return await asyncio.shield(running)
+
     async def _report(self, engine: model.Upstream) -> Result[int, str]:
         """Return the start of the process that an engine is, or an error."""
         asked_at = asyncio.get_running_loop().time()
--- a/tests/router/test_process_checks.py
+++ b/tests/router/test_process_checks.py
@@ -23,6 +23,28 @@
     streams.run_fleet(main, streams.engines(version_count))
 
 
+def test_reports_do_not_grow_with_streams_that_go_on():
+    """Guards against many connections at once to the engines that are left."""
+
+    async def main(fleet):
+        played = []
+        for _ in range(4):
+            played += await streams.begin(fleet)
+        fleet.upstreams.crash(
+            fleet.store_view('vm1').upstreams_by_instance['d1']
+        )
+        for stream in played:
+            await stream.finish()
+        assert all(stream.is_whole for stream in played)
+        assert fleet.upstreams.report_count <= len(fleet.apps_by_vm)
+
+    engines = [
+        each._replace(port=1000 + number)
+        for number, each in enumerate(streams.engines(1))
+    ]
+    streams.run_fleet(main, engines)
+
+
 @pytest.mark.parametrize('is_taken_up', [True, False])
 def test_streams_go_on_after_their_engine_has_crashed(is_taken_up):
     """Guards against a stream that is refused as its engine is gone."""
