Give a read of many pages time while its parts arrive

Callers of added routes got 404, 503 since denials need a new state, for as long as other writers held 60 entries of 700 KB: a read was given up after 8 s and began anew, which at six daemons and a busy store never sufficed.

The bound of a whole read is 30 s now, as long as parts of it arrive within a second of each other. Peers are asked meanwhile, as for any silence.

--- a/corianderspar/router/store_view.py
+++ b/corianderspar/router/store_view.py
@@ -47,6 +47,10 @@
 # For a whole answer of the store. Three versions of a configuration of 250 KB
 # take 1.2 s over an idle link of 5 Mbit/s.
 MAX_TRANSFER_SECONDS = 6.0
+# For all pages of a read, while parts of them arrive. What other writers put
+# there takes many; a read that is given up would begin anew. Peers are asked
+# meanwhile.
+MAX_READ_SECONDS = 30.0
 # An empty answer that took this part of a long poll verifies the state up to
 # then. It is below 1 as the store's clock may differ a little.
 LONG_POLL_SHARE = 0.95
@@ -462,12 +466,13 @@
         self._app.report_progress()
         if is_snapshot:
             result = await self._call_store(
-                self._client.read, 2 * STORE_TIMEOUT_SECONDS
+                self._client.read, 2 * STORE_TIMEOUT_SECONDS, MAX_READ_SECONDS
             )
         else:
             result = await self._call_store(
                 functools.partial(self._client.watch, before.revision, wait),
                 wait + STORE_TIMEOUT_SECONDS,
+                MAX_TRANSFER_SECONDS,
             )
         if result.is_error():
             self.store_outcomes.add(result.error.code, result.error.detail)
@@ -834,7 +839,7 @@
         self._changed = asyncio.Event()
 
     async def _call_store(
-        self, call: _StoreCall, seconds: float
+        self, call: _StoreCall, seconds: float, max_transfer: float
     ) -> Result[store.Changes, store.StoreError]:
         """Make a call to the store; give it up once nothing arrives.
 
@@ -842,7 +847,7 @@
         asked for anew, the daemon would never have it.
         """
         loop = asyncio.get_running_loop()
-        latest = loop.time() + seconds + MAX_TRANSFER_SECONDS
+        latest = loop.time() + seconds + max_transfer
         try:
             async with asyncio.timeout(seconds) as timeout:
 
