Bound the log lines and events that callers cause

Callers saw nothing; operators did. Each event keeps its values, so paths, identifiers and messages of up to a whole head stayed in memory with the last 4,096 events. Refused requests could fill the log as fast as it is written (10 MiB in 8 s from 8 connections), and lines on anything else were dropped with theirs. Errors in callbacks of the event loop were written as tracebacks past the bounded writer.

A value keeps 256 characters. Lines on requests and callers may be 1 MiB at once and then 256 KiB/s; the others are counted in log.dropped, and lines on the daemon itself still pass. Errors of the event loop are one line each.

--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random
 import signal
+import traceback
 from typing import Any
 from typing import NamedTuple
 
@@ -182,6 +183,20 @@
             self._membership.seeds = list(seeds)
             self.app.events.add('daemon.reloaded', seeds=','.join(seeds))
 
+    def log_loop_error(
+        self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error that reached the event loop, in one line."""
+        error = context.get('exception')
+        frames = traceback.extract_tb(error.__traceback__) if error else []
+        place = f'{frames[-1].filename}:{frames[-1].lineno}' if frames else ''
+        self.app.events.add(
+            'loop.error',
+            message=context['message'],
+            error=repr(error),
+            place=place,
+        )
+
     def _add_gauges(self) -> None:
         def version() -> float:
             config = self._store_view.configuration
@@ -340,6 +355,7 @@
     """Run a daemon until SIGTERM or SIGINT, then drain it."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(daemon.log_loop_error)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     writer.attach()
--- a/corianderspar/router/log_writer.py
+++ b/corianderspar/router/log_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import os
+import time
 from typing import Any
 
 import eliot
@@ -11,6 +12,11 @@
 
 FLUSH_INTERVAL_SECONDS = 0.1  # also the longest delay of a line
 MAX_BUFFERED_BYTES = 256 * 1024  # lines beyond it are dropped and counted
+# Of lines about requests and callers. Callers decide how many there are, so
+# that these may not crowd out the others.
+CALLER_EVENTS = ('request.', 'caller.', 'loop.')
+CALLER_BYTES_PER_SECOND = 256 * 1024
+CALLER_BURST_BYTES = 1024 * 1024
 
 
 class LogWriter:
@@ -32,6 +38,8 @@
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        self._caller_bytes = float(CALLER_BURST_BYTES)  # that may be written
+        self._refilled_at = time.monotonic()
         self._unwritten = b''
         self._has_lines = asyncio.Event()
 
@@ -43,13 +51,31 @@
     def enqueue(self, message: dict[str, Any]) -> None:
         """Buffer a line, or drop it if the buffer is full."""
         line = (logs.format_line(message) + '\n').encode(errors='replace')
-        if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
+        if self._buffered_bytes + len(
+            line
+        ) > MAX_BUFFERED_BYTES or not self._is_allowed(message, len(line)):
             self.dropped += 1
             return
         self._lines.append(line)
         self._buffered_bytes += len(line)
         self._has_lines.set()
 
+    def _is_allowed(self, message: dict[str, Any], size: int) -> bool:
+        """Return whether a line fits what callers may cause."""
+        if not message.get('message_type', '').startswith(CALLER_EVENTS):
+            return True
+        now = time.monotonic()
+        self._caller_bytes = min(
+            self._caller_bytes
+            + (now - self._refilled_at) * CALLER_BYTES_PER_SECOND,
+            CALLER_BURST_BYTES,
+        )
+        self._refilled_at = now
+        if self._caller_bytes < size:
+            return False
+        self._caller_bytes -= size
+        return True
+
     async def run(self) -> None:
         """Flush buffered lines periodically, until cancelled."""
         while True:
--- a/corianderspar/timeline.py
+++ b/corianderspar/timeline.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 MAX_EVENTS = 4096
+MAX_FIELD_CHARACTERS = 256  # of a value, which a caller may have sent
 
 
 class _Clock(Protocol):
@@ -77,7 +78,10 @@
             self.counter,
             self._clock.wall(),
             name,
-            {key: str(value) for key, value in fields.items()},
+            {
+                key: str(value)[:MAX_FIELD_CHARACTERS]
+                for key, value in fields.items()
+            },
         )
         self._events.append(event)
         for sink in self.sinks:
