Move the callers' connections into a module of their own

They move to http_connections unchanged, so that what they keep for callers can be bounded there. The tests of the server, of lost answers and of the edge pass as before.

--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib import parse
 
-from corianderspar import http_server
+from corianderspar import http_connections
 from tests.platform import fakes
 
 PAGE_BYTES = 10**6  # of a range
@@ -118,7 +118,7 @@
         await fakes.send_head(send, status, headers)
         if self.manner == 'head':
             await asyncio.sleep(0.01)
-            scope['extensions'][http_server.BREAK_OFF]()
+            scope['extensions'][http_connections.BREAK_OFF]()
             return
         for part in body:
             for at in range(0, len(part), self.piece_bytes):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from corianderspar import http_connections
 from corianderspar import http_server
 
 HEAD = b'POST /x HTTP/1.1\r\nhost: a\r\n'
@@ -168,7 +169,7 @@
     server, reader, writer = await _start(closing_wait=0.1)
     writer.write(HEAD)
     await asyncio.sleep(0.05)
-    async with asyncio.timeout(http_server.HEAD_SECONDS + 1.0):
+    async with asyncio.timeout(http_connections.HEAD_SECONDS + 1.0):
         await server.stop()
     assert await reader.read() == b''
     writer.close()
