Read no more of a caller than its next request

Callers that sent requests ahead on a few connections and read nothing filled the memory of a daemon, which ended; ordinary callers lost their requests with it.

Each answer let another 256 KiB of the connection be read, of which a request uses some hundred bytes. The rest lay in the parser without a bound, and was copied at each arrival. The next request was taken while the answer before it lay unread in the transport. Nothing ended a connection whose caller never reads, nor the rest of a refused body that trickles on, as any byte of it ended the idle time.

Reading pauses at 16 KiB that are not parsed, and reads 16 KiB at once. The next request waits until the answer before it was read.

--- a/corianderspar/http_connections.py
+++ b/corianderspar/http_connections.py
@@ -8,14 +8,23 @@
 from typing import Any
 
 import h11
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import h11_impl
 
+from corianderspar import connection_table
+
 # For the rest of a request's head to arrive once the server closes. The part
 # that has arrived is of a request that its caller counts as sent.
 HEAD_SECONDS = 1.0
 RECHECK_SECONDS = 0.05
+# For the rest of a body to arrive after its request was answered.
+REST_SECONDS = 10.0
 BREAK_OFF = 'corianderspar.break_off'  # name of an extension of ASGI
 NO_LINGER = struct.pack('ii', 1, 0)  # closing then resets the connection
+READ_BYTES = 16 * 1024  # received at once
+AHEAD_BYTES = 16 * 1024  # kept of later requests while one is served
+
+_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Bounds:
@@ -25,6 +34,8 @@
     ----------
     closing_wait, head_timeout : float
         As in `http_server.HttpServer`.
+    table : ConnectionTable
+        The connections of the server.
 
     Attributes
     ----------
@@ -32,18 +43,52 @@
         Whether the server closes.
     """
 
-    def __init__(self, closing_wait: float, head_timeout: float) -> None:
+    def __init__(
+        self,
+        closing_wait: float,
+        head_timeout: float,
+        table: connection_table.ConnectionTable,
+    ) -> None:
         self.closing_wait = closing_wait
         self.head_timeout = head_timeout
+        self.table = table
         self.is_closing = False
 
 
+class _Parser(h11.Connection):
+    """A parser that tells how much it has to parse."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that were received and not parsed."""
+        return len(self._receive_buffer)
+
+
+class _Flow(flow_control.FlowControl):
+    """Flow control that reads no more than may be kept."""
+
+    def __init__(self, connection: 'Connection') -> None:
+        super().__init__(connection.transport)
+        self._connection = connection
+
+    def resume_reading(self) -> None:
+        """Read on, unless enough was received already."""
+        if self._connection.may_read:
+            super().resume_reading()
+
+    def pause_reading(self) -> None:
+        """Read nothing, also if the transport was told to read on."""
+        super().pause_reading()
+        self._transport.pause_reading()
+
+
 class Connection(h11_impl.H11Protocol):
     """A caller's connection.
 
     Its idle timeout may rise while it is open. Requests that were received
     while another one was being answered are answered too, and so are those
-    that cross the end of the server.
+    that cross the end of the server. A request waits until the answer before
+    it was read.
 
     Parameters
     ----------
@@ -53,64 +98,89 @@
 
     def __init__(self, *args: Any, bounds: Bounds, **options: Any) -> None:
         super().__init__(*args, **options)
+        max_head_bytes = self.config.h11_max_incomplete_event_size
+        assert max_head_bytes is not None
+        self.conn: _Parser = _Parser(h11.SERVER, max_head_bytes)
         self._bounds = bounds
+        self._table = bounds.table
         self._close_at: float | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
+        self._arrival_timer: asyncio.TimerHandle | None = None
+        self._unread_since: float | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         """Begin to serve, for a short time if the server closes."""
         super().connection_made(transport)
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        # `pause_writing` then tells of any byte that is left to write.
+        transport.set_write_buffer_limits(high=0)
+        self.flow = _Flow(self)
+        self._time_idle()
         if self._bounds.is_closing:
             self.shutdown()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the time of a head, too."""
+        """End the time of a request's arrival, too."""
         super().connection_lost(exc)
-        self._time_head()
+        self._unset_keepalive_if_required()
+        self._time_arrival()
+        self._table.discard(self)
 
     def data_received(self, data: bytes) -> None:
-        """Begin, or end, the time in which a head has to arrive."""
+        """Begin, or end, the time in which a request has to arrive."""
         super().data_received(data)
-        self._time_head()
+        self._after_events()
 
-    def _time_head(self) -> None:
-        is_arriving = (
+    @property
+    def may_read(self) -> bool:
+        """Whether more may be received now."""
+        if self._is_waiting_to_be_read():
+            return False
+        if self.conn.their_state is h11.DONE:
+            return self.conn.buffered_bytes < AHEAD_BYTES
+        return (
             not self._has_request()
-            and not self.transport.is_closing()
-            and bool(self.conn.trailing_data[0])
+            or len(self.cycle.body) <= flow_control.HIGH_WATER_LIMIT
         )
-        if not is_arriving and self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-        elif is_arriving and self._head_timer is None:
-            self._head_timer = self.loop.call_later(
-                self._bounds.head_timeout, self._refuse_head
-            )
 
-    def _refuse_head(self) -> None:
-        """Answer a request whose head did not arrive in time."""
-        if self.transport.is_closing():
+    def handle_events(self) -> None:
+        """Handle what was received; give the application `break_off`."""
+        if self._is_waiting_to_be_read():
+            self.flow.pause_reading()
             return
-        text = b'the head of the request came too slowly\n'
-        headers = [
-            (b'content-type', b'text/plain'),
-            (b'content-length', b'%d' % len(text)),
-            (b'connection', b'close'),
-        ]
-        response = h11.Response(status_code=408, headers=headers)
-        for event in (response, h11.Data(data=text), h11.EndOfMessage()):
-            self.transport.write(self.conn.send(event))
-        self.transport.close()
+        super().handle_events()
+        if self._has_request():
+            scope: dict[str, Any] = self.scope  # type: ignore[assignment]
+            scope['extensions'] = {BREAK_OFF: self.break_off}
+        if not self.may_read:
+            self.flow.pause_reading()
+
+    def _is_waiting_to_be_read(self) -> bool:
+        """Return whether an answer has to be read before the next request."""
+        return self._unread_since is not None and not self._has_request()
+
+    def pause_writing(self) -> None:
+        """Begin the time in which the caller has to read."""
+        super().pause_writing()
+        self._unread_since = self.loop.time()
+        self._watch()
+
+    def resume_writing(self) -> None:
+        """Go on with the next request, if it has been received."""
+        is_next = self._is_waiting_to_be_read()
+        self._unread_since = None
+        super().resume_writing()
+        if is_next and not self.transport.is_closing():
+            self.handle_events()
+            self.flow.resume_reading()
+        self._after_events()
 
     def on_response_complete(self) -> None:
         """Go on with the next request, if it has been received."""
         super().on_response_complete()
-        self._time_head()
+        self.flow.resume_reading()
+        self._after_events()
         if self._bounds.is_closing:
             self.shutdown()
 
@@ -119,8 +189,7 @@
         if self.transport.is_closing():
             return
         if self._has_request():
-            following, _is_closed = self.conn.trailing_data
-            if not following:
+            if not self.conn.buffered_bytes:
                 super().shutdown()
         elif self._close_at is None:
             self._close_at = self.loop.time() + self._bounds.closing_wait
@@ -128,33 +197,19 @@
         else:
             self._close_if_idle()
 
-    def _has_request(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
-
-    def _close_if_idle(self) -> None:
-        """Close, unless a request may have been sent or is under way."""
-        if self.transport.is_closing() or self._has_request():
+    def check(self, now: float) -> None:
+        """Close the connection if its caller left, or never reads."""
+        if self._unread_since is not None:
+            waited = now - self._unread_since
+            if waited >= self._table.limits.read_seconds:
+                self._table.cut_off(self, 'unread')
+                self._cut_off()
+                return
+        if self.flow.read_paused and self._has_left():
+            # Nothing else tells while reading is paused.
+            self._cut_off()
             return
-        assert self._close_at is not None
-        remaining = self._close_at - self.loop.time()
-        following, _is_closed = self.conn.trailing_data
-        if remaining <= -HEAD_SECONDS or (
-            remaining <= 0
-            and not following
-            and not is_readable(self.transport.get_extra_info('socket'))
-        ):
-            super().shutdown()
-            return
-        self.loop.call_later(
-            max(remaining, RECHECK_SECONDS), self._close_if_idle
-        )
-
-    def handle_events(self) -> None:
-        """Handle what was received; give the application `break_off`."""
-        super().handle_events()
-        if self._has_request():
-            scope: dict[str, Any] = self.scope  # type: ignore[assignment]
-            scope['extensions'] = {BREAK_OFF: self.break_off}
+        self._watch()
 
     def break_off(self) -> None:
         """Close the connection at once, as a killed process would.
@@ -163,10 +218,7 @@
         connection. It is complete unless the connection is reset.
         """
         if self._has_request() and self.scope['http_version'] == '1.0':
-            with contextlib.suppress(OSError):  # it may be closed already
-                self.transport.get_extra_info('socket').setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-                )
+            self._reset_on_close()
         self.transport.abort()
 
     def raise_idle_timeout(self, seconds: float) -> None:
@@ -182,6 +234,116 @@
                 timer.when() + longer, self.timeout_keep_alive_handler
             )
 
+    def _after_events(self) -> None:
+        self._time_arrival()
+        self._watch()
+
+    def _time_arrival(self) -> None:
+        """Begin, or end, the time in which bytes have to arrive.
+
+        These are those of a head, or of the rest of a body whose request was
+        answered. Without them, the connection is idle.
+        """
+        if self.transport.is_closing() or self._has_request():
+            limit = 0.0
+        elif self._is_receiving_body():
+            limit = REST_SECONDS
+        elif self.conn.buffered_bytes and not self._is_waiting_to_be_read():
+            limit = self._bounds.head_timeout
+        else:
+            limit = 0.0
+            if self.timeout_keep_alive_task is None:
+                self._time_idle()
+        if not limit and self._arrival_timer is not None:
+            self._arrival_timer.cancel()
+            self._arrival_timer = None
+        elif limit and self._arrival_timer is None:
+            self._arrival_timer = self.loop.call_later(
+                limit, self._end_arrival
+            )
+
+    def _time_idle(self) -> None:
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def _end_arrival(self) -> None:
+        """Refuse a head, or drop a body, that did not arrive in time."""
+        self._arrival_timer = None
+        if self.transport.is_closing():
+            return
+        if self._is_receiving_body():
+            self._table.cut_off(self, 'slow')
+            self._cut_off()
+            return
+        self._refuse(
+            408,
+            b'the head of the request came too slowly\n',
+            [(b'connection', b'close')],
+        )
+        self.transport.close()
+
+    def _refuse(
+        self, status: int, text: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Answer a request without the application."""
+        headers = [
+            (b'content-type', b'text/plain'),
+            (b'content-length', b'%d' % len(text)),
+            *headers,
+        ]
+        response = h11.Response(status_code=status, headers=headers)
+        for event in (response, h11.Data(data=text), h11.EndOfMessage()):
+            self.transport.write(self.conn.send(event))
+
+    def _watch(self) -> None:
+        """Check now and then whether the caller left, or never reads."""
+        if self.flow.read_paused or self._unread_since is not None:
+            self._table.watch(self)
+        else:
+            self._table.unwatch(self)
+
+    def _has_request(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _is_receiving_body(self) -> bool:
+        return self.conn.their_state is h11.SEND_BODY
+
+    def _has_left(self) -> bool:
+        """Return whether the caller closed its end."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info('socket').fileno(), _LEFT)
+        return bool(poll.poll(0))
+
+    def _close_if_idle(self) -> None:
+        """Close, unless a request may have been sent or is under way."""
+        if self.transport.is_closing() or self._has_request():
+            return
+        assert self._close_at is not None
+        remaining = self._close_at - self.loop.time()
+        if remaining <= -HEAD_SECONDS or (
+            remaining <= 0
+            and not self.conn.buffered_bytes
+            and not is_readable(self.transport.get_extra_info('socket'))
+        ):
+            super().shutdown()
+            return
+        self.loop.call_later(
+            max(remaining, RECHECK_SECONDS), self._close_if_idle
+        )
+
+    def _cut_off(self) -> None:
+        """Close at once; an answer that was not read looks incomplete."""
+        if self._unread_since is not None:
+            self._reset_on_close()
+        self.transport.abort()
+
+    def _reset_on_close(self) -> None:
+        with contextlib.suppress(OSError):  # it may be closed already
+            self.transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+
 
 def is_readable(checked: Any) -> bool:
     """Return whether a socket has bytes, connections or an end to read."""
--- a/corianderspar/http_server.py
+++ b/corianderspar/http_server.py
@@ -10,6 +10,7 @@
 
 import uvicorn
 
+from corianderspar import connection_table
 from corianderspar import http_connections
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -17,6 +18,7 @@
 LISTEN_BACKLOG = 1024
 # Of the event loop, after the last connection until its transport is made.
 QUIET_TURNS = 3
+DEFAULT_LIMITS = connection_table.ConnectionLimits()
 MAX_ACCEPT_TURNS = 1000  # in case connections never cease to arrive
 
 
@@ -98,7 +100,8 @@
 
         names = {name for name, _value in scope['headers']}
         if {b'content-length', b'transfer-encoding'} <= names:
-            await _reject(send_with_date)
+            text = b'a request has a length or a coding, not both\n'
+            await _reject(send_with_date, 400, text, (b'connection', b'close'))
             return
         try:
             await self._app(scope, receive, send_with_date)
@@ -107,15 +110,16 @@
                 scope['extensions'][http_connections.BREAK_OFF]()
 
 
-async def _reject(send: Any) -> None:
-    text = b'a request has a length or a coding, not both\n'
+async def _reject(
+    send: Any, status: int, text: bytes, header: tuple[bytes, bytes]
+) -> None:
     headers = [
         (b'content-type', b'text/plain'),
         (b'content-length', b'%d' % len(text)),
-        (b'connection', b'close'),
+        header,
     ]
     await send(
-        {'type': 'http.response.start', 'status': 400, 'headers': headers}
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
     )
     await send({'type': 'http.response.body', 'body': text})
 
@@ -140,6 +144,11 @@
         last one was accepted. A request may have been sent on them.
     head_timeout : float
         Seconds for the head of a request to arrive, from its first byte.
+
+    Attributes
+    ----------
+    table : ConnectionTable
+        The open connections.
     """
 
     def __init__(
@@ -154,7 +163,10 @@
         self.address = address
         self.idle_timeout = idle_timeout
         self._max_header_bytes = max_header_bytes
-        self._bounds = http_connections.Bounds(closing_wait, head_timeout)
+        self.table = connection_table.ConnectionTable(DEFAULT_LIMITS)
+        self._bounds = http_connections.Bounds(
+            closing_wait, head_timeout, self.table
+        )
         self.app = app
         self._listener: socket.socket | None = None
         self._server: _Server | None = None
