Parse bodies in many small chunks in turns

While 30 connections sent bodies in chunks of one byte, no ordinary caller got an answer in 20 s, nor for a while after they had left: each arrival was parsed to its end before anything else had a turn, and the daemon lost the store meanwhile.

Parsing stops after 32 events; connections with more go on one after the other, one in each turn of the event loop, and read nothing until then. The body grows in one piece, as a list of tiny parts takes many times its size. To refuse such bodies was weighed: they may be within the operator's limits.

--- a/corianderspar/http_connections.py
+++ b/corianderspar/http_connections.py
@@ -23,6 +23,7 @@
 NO_LINGER = struct.pack('ii', 1, 0)  # closing then resets the connection
 READ_BYTES = 16 * 1024  # received at once
 AHEAD_BYTES = 16 * 1024  # kept of later requests while one is served
+EVENTS_PER_TURN = 32  # parsed in a row before other tasks get a turn
 
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -41,6 +42,8 @@
     ----------
     is_closing : bool
         Whether the server closes.
+    turns : _Turns
+        Of connections that have received more than they may parse at once.
     """
 
     def __init__(
@@ -53,16 +56,66 @@
         self.head_timeout = head_timeout
         self.table = table
         self.is_closing = False
+        self.turns = _Turns()
+
+
+class _Turns:
+    """Lets connections parse in turn, one in each turn of the event loop."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[Connection, None] = {}  # in order
+        self._is_scheduled = False
+
+    def add(self, connection: 'Connection') -> None:
+        """Let a connection parse once those before it have done so."""
+        self._waiting.setdefault(connection)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._waiting and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run)
+
+    def _run(self) -> None:
+        self._is_scheduled = False
+        connection = next(iter(self._waiting))
+        del self._waiting[connection]
+        connection.take_turn()
+        self._schedule()
 
 
 class _Parser(h11.Connection):
-    """A parser that tells how much it has to parse."""
+    """A parser that lets other tasks have a turn.
+
+    Attributes
+    ----------
+    has_more : bool
+        Whether it stopped although more events may have been received.
+    """
+
+    def __init__(self, max_head_bytes: int) -> None:
+        super().__init__(h11.SERVER, max_head_bytes)
+        self.has_more = False
+        self._event_count = 0
 
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes that were received and not parsed."""
         return len(self._receive_buffer)
 
+    def begin_turn(self) -> None:
+        """Allow for the events of one turn."""
+        self.has_more = False
+        self._event_count = 0
+
+    def next_event(self) -> Any:
+        """Return the next event; none after those of one turn."""
+        if self._event_count >= EVENTS_PER_TURN:
+            self.has_more = True
+            return h11.NEED_DATA
+        self._event_count += 1
+        return super().next_event()
+
 
 class _Flow(flow_control.FlowControl):
     """Flow control that reads no more than may be kept."""
@@ -100,7 +153,7 @@
         super().__init__(*args, **options)
         max_head_bytes = self.config.h11_max_incomplete_event_size
         assert max_head_bytes is not None
-        self.conn: _Parser = _Parser(h11.SERVER, max_head_bytes)
+        self.conn: _Parser = _Parser(max_head_bytes)
         self._bounds = bounds
         self._table = bounds.table
         self._close_at: float | None = None
@@ -135,7 +188,7 @@
     @property
     def may_read(self) -> bool:
         """Whether more may be received now."""
-        if self._is_waiting_to_be_read():
+        if self.conn.has_more or self._is_waiting_to_be_read():
             return False
         if self.conn.their_state is h11.DONE:
             return self.conn.buffered_bytes < AHEAD_BYTES
@@ -149,13 +202,25 @@
         if self._is_waiting_to_be_read():
             self.flow.pause_reading()
             return
+        self.conn.begin_turn()
         super().handle_events()
         if self._has_request():
             scope: dict[str, Any] = self.scope  # type: ignore[assignment]
             scope['extensions'] = {BREAK_OFF: self.break_off}
-        if not self.may_read:
+        if self.conn.has_more:
+            self.flow.pause_reading()
+            self._bounds.turns.add(self)
+        elif not self.may_read:
             self.flow.pause_reading()
 
+    def take_turn(self) -> None:
+        """Parse the events of another turn."""
+        if self.transport.is_closing() or not self.conn.has_more:
+            return
+        self.handle_events()
+        self.flow.resume_reading()
+        self._after_events()
+
     def _is_waiting_to_be_read(self) -> bool:
         """Return whether an answer has to be read before the next request."""
         return self._unread_since is not None and not self._has_request()
@@ -248,7 +313,9 @@
             limit = 0.0
         elif self._is_receiving_body():
             limit = REST_SECONDS
-        elif self.conn.buffered_bytes and not self._is_waiting_to_be_read():
+        elif self.conn.buffered_bytes and not (
+            self.conn.has_more or self._is_waiting_to_be_read()
+        ):
             limit = self._bounds.head_timeout
         else:
             limit = 0.0
--- a/corianderspar/http_io.py
+++ b/corianderspar/http_io.py
@@ -113,19 +113,20 @@
     async def _read_parts(
         self, max_bytes: int
     ) -> Result[bytes, problems.Problem]:
-        parts: list[bytes] = []
-        size = 0
+        # A list of its parts could take many times the memory of the body.
+        body = bytearray()
         while True:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
                 raise CallerDisconnected
             part = message.get('body', b'')
-            size += len(part)
-            if size > max_bytes:
+            if len(body) + len(part) > max_bytes:
                 return Error(_too_large(max_bytes))
-            parts.append(part)
+            if not message.get('more_body', False) and not body:
+                return Ok(part)
+            body += part
             if not message.get('more_body', False):
-                return Ok(b''.join(parts))
+                return Ok(bytes(body))
 
     async def wait_disconnected(self) -> None:
         """Wait until the caller closes its connection."""
