Bound the bytes that are held for callers together

150 unfinished bodies of 1 MB took a daemon of 128 MB to 203 MB, as many whole ones to 373 MB: each connection kept to its own limits, and nothing bounded their sum.

Each connection states what it holds: bytes received, fields and text of the head, the body, the answer that is not read, and what the system receives while reading is paused. Beyond 0.3 of the machine's memory those that hold most for longest are refused (503, nothing was passed on) or cut off. A request in service is never cut for it; if only such are left, new requests get 503 as soon as their head is parsed. The share comes from memory_mb of the settings file, or from max_held_mb in [callers]; read_timeout_s there is the time to read an answer. Each refusal is a line and counts.

--- a/corianderspar/http_connections.py
+++ b/corianderspar/http_connections.py
@@ -24,6 +24,14 @@
 READ_BYTES = 16 * 1024  # received at once
 AHEAD_BYTES = 16 * 1024  # kept of later requests while one is served
 EVENTS_PER_TURN = 32  # parsed in a row before other tasks get a turn
+# What a request in flight holds, besides its head and body.
+REQUEST_BYTES = 32 * 1024
+# What a field of its head holds, besides its text.
+HEADER_BYTES = 1024
+HEAD_COPIES = 4  # of the text of a head, decoded and encoded again
+BODY_COPIES = 2  # of a body, while it is put together or sent
+WINDOW_BYTES = 64 * 1024  # that the system receives while nothing is read
+RETURN_SECONDS = 1  # Retry-After of refusals
 
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -85,16 +93,19 @@
 
 
 class _Parser(h11.Connection):
-    """A parser that lets other tasks have a turn.
+    """A parser that lets other tasks have a turn, and counts what is kept.
 
     Attributes
     ----------
+    request_bytes : int
+        What the request that was parsed last holds.
     has_more : bool
         Whether it stopped although more events may have been received.
     """
 
     def __init__(self, max_head_bytes: int) -> None:
         super().__init__(h11.SERVER, max_head_bytes)
+        self.request_bytes = 0
         self.has_more = False
         self._event_count = 0
 
@@ -114,7 +125,20 @@
             self.has_more = True
             return h11.NEED_DATA
         self._event_count += 1
-        return super().next_event()
+        event = super().next_event()
+        if isinstance(event, h11.Data):
+            if self.our_state is h11.DONE:
+                return event  # of a body that is dropped
+            self.request_bytes += BODY_COPIES * len(event.data)
+        elif isinstance(event, h11.Request):
+            self.request_bytes = (
+                REQUEST_BYTES
+                + HEADER_BYTES * len(event.headers)
+                + HEAD_COPIES * len(event.target)
+                + HEAD_COPIES
+                * sum(len(name) + len(value) for name, value in event.headers)
+            )
+        return event
 
 
 class _Flow(flow_control.FlowControl):
@@ -151,6 +175,9 @@
 
     def __init__(self, *args: Any, bounds: Bounds, **options: Any) -> None:
         super().__init__(*args, **options)
+        self.state = connection_table.State.UNUSED
+        self.since = self.loop.time()
+        self.held_bytes = 0
         max_head_bytes = self.config.h11_max_incomplete_event_size
         assert max_head_bytes is not None
         self.conn: _Parser = _Parser(max_head_bytes)
@@ -169,6 +196,7 @@
         # `pause_writing` then tells of any byte that is left to write.
         transport.set_write_buffer_limits(high=0)
         self.flow = _Flow(self)
+        self._table.add(self)
         self._time_idle()
         if self._bounds.is_closing:
             self.shutdown()
@@ -229,7 +257,7 @@
         """Begin the time in which the caller has to read."""
         super().pause_writing()
         self._unread_since = self.loop.time()
-        self._watch()
+        self._account()
 
     def resume_writing(self) -> None:
         """Go on with the next request, if it has been received."""
@@ -243,6 +271,7 @@
 
     def on_response_complete(self) -> None:
         """Go on with the next request, if it has been received."""
+        self.conn.request_bytes = 0
         super().on_response_complete()
         self.flow.resume_reading()
         self._after_events()
@@ -262,6 +291,26 @@
         else:
             self._close_if_idle()
 
+    def shed(self, reason: str) -> None:
+        """Refuse what arrives, or close the connection at once."""
+        if self.conn.our_state is h11.SEND_RESPONSE and (
+            self._is_receiving_body() and not self.transport.is_closing()
+        ):
+            self._refuse(
+                503,
+                b'too much is being received\n',
+                [(b'retry-after', b'%d' % RETURN_SECONDS)],
+            )
+            # To the application, the caller has left.
+            self.cycle.disconnected = True
+            self.cycle.response_complete = True
+            self.cycle.body.clear()
+            self.cycle.message_event.set()
+            self.on_response_complete()
+            if reason == 'memory' and self._unread_since is None:
+                return  # the rest of the body is read and dropped
+        self._cut_off()
+
     def check(self, now: float) -> None:
         """Close the connection if its caller left, or never reads."""
         if self._unread_since is not None:
@@ -274,7 +323,7 @@
             # Nothing else tells while reading is paused.
             self._cut_off()
             return
-        self._watch()
+        self._account()
 
     def break_off(self) -> None:
         """Close the connection at once, as a killed process would.
@@ -301,7 +350,7 @@
 
     def _after_events(self) -> None:
         self._time_arrival()
-        self._watch()
+        self._account()
 
     def _time_arrival(self) -> None:
         """Begin, or end, the time in which bytes have to arrive.
@@ -363,12 +412,43 @@
         for event in (response, h11.Data(data=text), h11.EndOfMessage()):
             self.transport.write(self.conn.send(event))
 
-    def _watch(self) -> None:
-        """Check now and then whether the caller left, or never reads."""
+    def _account(self) -> None:
+        """Tell the table what the connection does and holds."""
+        state = self._find_state()
+        if state is not self.state:
+            self.state = state
+            self.since = self.loop.time()
+        if self.transport.is_closing() and self._unread_since is None:
+            held_bytes = 0
+        else:
+            held_bytes = (
+                self.conn.buffered_bytes
+                + self.conn.request_bytes
+                + self.transport.get_write_buffer_size()
+            )
+            if self.flow.read_paused:
+                held_bytes += WINDOW_BYTES
         if self.flow.read_paused or self._unread_since is not None:
             self._table.watch(self)
         else:
             self._table.unwatch(self)
+        if held_bytes != self.held_bytes:
+            self._table.set_held(self, held_bytes)
+
+    def _find_state(self) -> connection_table.State:
+        if self._unread_since is not None:
+            return connection_table.State.UNREAD
+        if self._has_request():
+            if self.cycle.more_body:
+                return connection_table.State.RECEIVING
+            if self.flow.read_paused:
+                return connection_table.State.AHEAD
+            return connection_table.State.SERVED
+        if self.conn.buffered_bytes or self._is_receiving_body():
+            return connection_table.State.RECEIVING
+        if self.cycle is None:
+            return connection_table.State.UNUSED
+        return connection_table.State.IDLE
 
     def _has_request(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
--- a/corianderspar/http_server.py
+++ b/corianderspar/http_server.py
@@ -66,7 +66,7 @@
 
 
 class _ProtocolMiddleware:
-    """Rejects requests with ambiguous framing; adds missing dates.
+    """Rejects requests with ambiguous framing or too much; adds dates.
 
     A proxy in front of this server may see another end of a request that
     has both Content-Length and Transfer-Encoding (request smuggling, RFC
@@ -75,8 +75,11 @@
     application leaves without its end must not look complete.
     """
 
-    def __init__(self, app: Any) -> None:
+    def __init__(
+        self, app: Any, table: connection_table.ConnectionTable
+    ) -> None:
         self._app = app
+        self._table = table
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope['type'] != 'http':
@@ -103,6 +106,15 @@
             text = b'a request has a length or a coding, not both\n'
             await _reject(send_with_date, 400, text, (b'connection', b'close'))
             return
+        if self._table.is_full:
+            self._table.refuse('request')
+            await _reject(
+                send_with_date,
+                503,
+                b'too much is being received\n',
+                (b'retry-after', b'%d' % http_connections.RETURN_SECONDS),
+            )
+            return
         try:
             await self._app(scope, receive, send_with_date)
         finally:
@@ -144,6 +156,8 @@
         last one was accepted. A request may have been sent on them.
     head_timeout : float
         Seconds for the head of a request to arrive, from its first byte.
+    limits : ConnectionLimits
+        Limits of all connections together.
 
     Attributes
     ----------
@@ -159,11 +173,12 @@
         max_header_bytes: int = MAX_HEADER_BYTES,
         closing_wait: float = 0.0,
         head_timeout: float = IDLE_TIMEOUT_SECONDS,
+        limits: connection_table.ConnectionLimits = DEFAULT_LIMITS,
     ) -> None:
         self.address = address
         self.idle_timeout = idle_timeout
         self._max_header_bytes = max_header_bytes
-        self.table = connection_table.ConnectionTable(DEFAULT_LIMITS)
+        self.table = connection_table.ConnectionTable(limits)
         self._bounds = http_connections.Bounds(
             closing_wait, head_timeout, self.table
         )
@@ -189,7 +204,7 @@
         self.bind()
         assert self._listener is not None
         config = uvicorn.Config(
-            _ProtocolMiddleware(self.app),
+            _ProtocolMiddleware(self.app, self.table),
             loop='asyncio',
             http=functools.partial(  # type: ignore[arg-type]
                 http_connections.Connection, bounds=self._bounds
--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 import tomllib
+from typing import Annotated
 from typing import Any
 
 from expression import Error
@@ -12,6 +13,7 @@
 from corianderspar import kernel
 from corianderspar import problems
 from corianderspar.router import assembly
+from corianderspar.router import caller_limits
 from corianderspar.router import daemon
 from corianderspar.router import store_view
 from corianderspar.router import token_buckets
@@ -46,6 +48,19 @@
     addr: str
 
 
+class _Limits(msgspec.Struct):
+    """What the machine has for the process; 0 if it isn't stated."""
+
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
+class _Callers(msgspec.Struct):
+    """Limits of the operator's own, instead of shares of the machine."""
+
+    max_held_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    read_timeout_s: Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
 class _SettingsFile(msgspec.Struct):
     node: str
     zone: str
@@ -57,6 +72,8 @@
     bounds: _Bounds
     ip: str
     seeds: list[str] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    callers: _Callers = msgspec.field(default_factory=_Callers)
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
 
@@ -95,6 +112,7 @@
                 peers=file.listen.control,
                 metrics=f'{file.ip}:{file.port_range[0]}',
                 seeds=tuple(file.seeds),
+                limits=_limits(file.limits, file.callers),
                 bounds=assembly.Bounds(
                     bounds.revoke_ms / 1000,
                     bounds.grace_s,
@@ -120,6 +138,15 @@
     )
 
 
+def _limits(machine: _Limits, callers: _Callers) -> caller_limits.CallerLimits:
+    held_mb = callers.max_held_mb
+    return caller_limits.derive(
+        caller_limits.Machine(int(machine.memory_mb * 1e6)),
+        int(held_mb * 1e6) if held_mb else None,
+        callers.read_timeout_s,
+    )
+
+
 def _finding(
     path: Path, seen: str, allowed: str
 ) -> Result[Settings, list[problems.Finding]]:
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import random
 import signal
 import traceback
@@ -10,11 +11,13 @@
 
 from corianderspar import channel
 from corianderspar import clock
+from corianderspar import connection_table
 from corianderspar import http_io
 from corianderspar import http_server
 from corianderspar import kernel
 from corianderspar import logs
 from corianderspar.router import assembly  # noqa: H306
+from corianderspar.router import caller_limits
 from corianderspar.router import connections
 from corianderspar.router import edge
 from corianderspar.router import log_writer
@@ -52,6 +55,8 @@
         Addresses of peers to contact first; some may be down.
     bounds : Bounds
         Guarantees and tolerances.
+    limits : CallerLimits
+        Of what is held for callers, upstreams and peers.
     """
 
     identity: kernel.Identity
@@ -61,6 +66,7 @@
     metrics: str
     seeds: tuple[str, ...]
     bounds: assembly.Bounds
+    limits: caller_limits.CallerLimits
 
 
 class PlatformAdapters(NamedTuple):
@@ -117,17 +123,24 @@
         self._add_gauges()
         self._add_rate_gauges()
         self._callers = http_server.HttpServer(
-            self._edge, settings.callers, closing_wait=CLOSING_WAIT_SECONDS
+            self._edge,
+            settings.callers,
+            closing_wait=CLOSING_WAIT_SECONDS,
+            limits=settings.limits.callers,
         )
         self._store_view.on_configuration_adopted.append(self._apply_limits)
         self._status_servers = [
             http_server.HttpServer(
-                _Page(self._read_readiness), settings.readiness
-            ),
-            http_server.HttpServer(
-                _Page(self._read_metrics), settings.metrics
-            ),
+                _Page(read_page),
+                address,
+                limits=caller_limits.STATUS_LIMITS,
+            )
+            for read_page, address in (
+                (self._read_readiness, settings.readiness),
+                (self._read_metrics, settings.metrics),
+            )
         ]
+        self._watch_servers()
 
     async def start(self) -> None:
         """Start all services, then listen."""
@@ -280,6 +293,50 @@
             self.app.find('placement', placement.Placement).count_waiting,
         )
 
+    def _watch_servers(self) -> None:
+        """Log and count what the servers refuse and cut off."""
+        for name, server in (
+            ('callers', self._callers),
+            ('readiness', self._status_servers[0]),
+            ('metrics', self._status_servers[1]),
+        ):
+            server.table.on_shed.append(
+                functools.partial(self._log_shed, name)
+            )
+        table = self._callers.table
+        self._telemetry.add_counters(
+            'corianderspar_router_shed',
+            'Connections and requests of callers that were refused or cut '
+            'off, by the limit.',
+            'reason',
+            lambda: table.counts_by_reason,
+        )
+        for name, help_text, read in (
+            (
+                'caller_connections',
+                'Open connections of callers.',
+                lambda: len(table),
+            ),
+            (
+                'caller_bytes',
+                'Held for callers.',
+                lambda: table.held_bytes,
+            ),
+        ):
+            self._telemetry.add_gauge(
+                f'corianderspar_router_{name}', help_text, read
+            )
+
+    def _log_shed(self, server: str, shed: connection_table.Shed) -> None:
+        self.app.events.add(
+            'caller.shed',
+            server=server,
+            limit=shed.reason,
+            state=shed.state,
+            held=shed.held_bytes,
+            seconds=f'{shed.seconds:.3f}',
+        )
+
     def _add_rate_gauges(self) -> None:
         """Add gauges of the rates of engines whose home this daemon was."""
         placements = self.app.find('placement', placement.Placement)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -73,6 +73,22 @@
     assert platform.load(path).ok.router.bounds.start_policy is policy
 
 
+def test_limits_of_callers_follow_from_the_machine(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text(
+        f'{VALID_SETTINGS}[limits]\nmemory_mb = 150\nmax_fds = 1000\n'
+    )
+    limits = platform.load(path).ok.router.limits
+    assert limits.callers == (45_000_000, 30.0)
+    with path.open('a') as file:
+        file.write('[callers]\nmax_held_mb = 2.5\n')
+    limits = platform.load(path).ok.router.limits
+    assert limits.callers == (2_500_000, 30.0)
+    path.write_text(f'{VALID_SETTINGS}[callers]\nread_timeout_s = 0\n')
+    (finding,) = platform.load(path).error
+    assert 'callers.read_timeout_s' in finding.seen
+
+
 class Body:
     """Stands for the answer of an engine that is being read."""
 
