Bound the open connections of callers

600 connections without a request, half a request or with an answer made a daemon that may have 300 sockets hold 612, and 1,212 with those to upstreams. Beyond the descriptors of its machine it could open none to upstreams, peers or the store, wrote 1,024 tracebacks a second, and accepted nothing for a second at a time.

Callers have 0.4 of the sockets of the machine: max_fds of the settings file less 200 for files, and not more than the system allows, or max_connections in [callers]. When they are used up, those close that did nothing for longest: first the ones without a request and those that do not read, so that who came last is served. If all are served, the new one is closed unread. If the system has no descriptor left all the same, room is made the same way.

Strangers on the port for peers still hold 508 sockets.

--- a/corianderspar/connection_table.py
+++ b/corianderspar/connection_table.py
@@ -39,6 +39,8 @@
 
     Attributes
     ----------
+    connections : int
+        Open at a time.
     held_bytes : int
         Held for callers: what was received and not used up, requests in
         flight, and answers that were not read.
@@ -46,6 +48,7 @@
         For a caller to read what was written to it.
     """
 
+    connections: int = 8192
     held_bytes: int = 256 * 1024 * 1024
     read_seconds: float = 30.0
 
@@ -145,25 +148,36 @@
         self.counts_by_reason: collections.Counter[str] = collections.Counter()
         self.on_shed: list[Callable[[Shed], None]] = []
         self._connections: set[Held] = set()
+        self._expected = 0
         self._watched: set[Held] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_releasing = False
 
     def __len__(self) -> int:
-        """Return the number of connections."""
-        return len(self._connections)
+        """Return the number of connections, with those being set up."""
+        return len(self._connections) + self._expected
 
     def __iter__(self) -> Iterator[Held]:
         """Iterate over the connections that are set up."""
         return iter(self._connections)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether one more connection may be accepted."""
+        return len(self) < self.limits.connections
+
     @property
     def is_full(self) -> bool:
         """Whether the connections hold too many bytes, whatever is closed."""
         return self.held_bytes > self.limits.held_bytes
 
+    def expect(self) -> None:
+        """Count a connection that was accepted and will be added."""
+        self._expected += 1
+
     def add(self, connection: Held) -> None:
         """Add a connection that was set up."""
+        self._expected = max(self._expected - 1, 0)
         self._connections.add(connection)
 
     def discard(self, connection: Held) -> None:
@@ -182,6 +196,20 @@
             finally:
                 self._is_releasing = False
 
+    def make_room(self) -> bool:
+        """Close connections, so that others can be accepted in a moment.
+
+        Returns
+        -------
+        bool
+            False if all of them are being served.
+        """
+        count = max(int(self.limits.connections * CLOSED_SHARE), 1)
+        worst = self._worst(count, lambda _connection: 1.0)
+        for connection in worst:
+            self._shed(connection, 'connections')
+        return bool(worst)
+
     def refuse(self, reason: str) -> None:
         """Record a connection or request that is refused."""
         self._record(Shed(reason))
--- a/corianderspar/http_server.py
+++ b/corianderspar/http_server.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 from email import utils
+import errno
 import functools
 import socket
 from typing import Any
@@ -16,6 +17,9 @@
 MAX_HEADER_BYTES = 32 * 1024
 IDLE_TIMEOUT_SECONDS = 75
 LISTEN_BACKLOG = 1024
+# Of the system, when it can open no more descriptors.
+EXHAUSTED_PAUSE_SECONDS = 0.5
+EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Of the event loop, after the last connection until its transport is made.
 QUIET_TURNS = 3
 DEFAULT_LIMITS = connection_table.ConnectionLimits()
@@ -65,6 +69,43 @@
         yield
 
 
+class _Listener(socket.socket):
+    """A listening socket that accepts no more connections than are allowed."""
+
+    table: connection_table.ConnectionTable
+    paused_until = 0.0  # seconds of the event loop
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept a connection; close others, or this one, to have room.
+
+        Raises
+        ------
+        BlockingIOError
+            If there may be room in the next turn of the event loop.
+        """
+        if not self.table.has_room and self.table.make_room():
+            raise BlockingIOError
+        try:
+            connection, address = super().accept()
+        except OSError as error:
+            if error.errno not in EXHAUSTED:
+                raise
+            self.table.refuse('descriptors')
+            now = asyncio.get_running_loop().time()
+            if self.table.make_room() or now < self.paused_until:
+                raise BlockingIOError from error
+            # The event loop then accepts nothing for a second, but asks for
+            # the rest of the backlog in this turn.
+            self.paused_until = now + EXHAUSTED_PAUSE_SECONDS
+            raise
+        if not self.table.has_room:
+            connection.close()
+            self.table.refuse('connections')
+            raise BlockingIOError
+        self.table.expect()
+        return connection, address
+
+
 class _ProtocolMiddleware:
     """Rejects requests with ambiguous framing or too much; adds dates.
 
@@ -276,9 +317,8 @@
         # asyncio disables Nagle's algorithm only on sockets created with
         # IPPROTO_TCP. Otherwise each small piece of an answer waits for the
         # caller's delayed acknowledgement.
-        listener = socket.socket(
-            family, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
+        listener = _Listener(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        listener.table = self.table
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             listener.bind((host.strip('[]'), int(port)))
--- a/corianderspar/platform/settings.py
+++ b/corianderspar/platform/settings.py
@@ -52,11 +52,13 @@
     """What the machine has for the process; 0 if it isn't stated."""
 
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Callers(msgspec.Struct):
     """Limits of the operator's own, instead of shares of the machine."""
 
+    max_connections: Annotated[int, msgspec.Meta(gt=0)] | None = None
     max_held_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
     read_timeout_s: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
@@ -141,7 +143,8 @@
 def _limits(machine: _Limits, callers: _Callers) -> caller_limits.CallerLimits:
     held_mb = callers.max_held_mb
     return caller_limits.derive(
-        caller_limits.Machine(int(machine.memory_mb * 1e6)),
+        caller_limits.Machine(int(machine.memory_mb * 1e6), machine.max_fds),
+        callers.max_connections,
         int(held_mb * 1e6) if held_mb else None,
         callers.read_timeout_s,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -79,11 +79,11 @@
         f'{VALID_SETTINGS}[limits]\nmemory_mb = 150\nmax_fds = 1000\n'
     )
     limits = platform.load(path).ok.router.limits
-    assert limits.callers == (45_000_000, 30.0)
+    assert limits.callers == (320, 45_000_000, 30.0)
     with path.open('a') as file:
-        file.write('[callers]\nmax_held_mb = 2.5\n')
+        file.write('[callers]\nmax_connections = 10\nmax_held_mb = 2.5\n')
     limits = platform.load(path).ok.router.limits
-    assert limits.callers == (2_500_000, 30.0)
+    assert limits.callers == (10, 2_500_000, 30.0)
     path.write_text(f'{VALID_SETTINGS}[callers]\nread_timeout_s = 0\n')
     (finding,) = platform.load(path).error
     assert 'callers.read_timeout_s' in finding.seen
--- a/tests/test_connection_table.py
+++ b/tests/test_connection_table.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import pytest
+
 from corianderspar import connection_table
 
 State = connection_table.State
-LIMITS = connection_table.ConnectionLimits(held_bytes=1000, read_seconds=5.0)
+LIMITS = connection_table.ConnectionLimits(
+    connections=8, held_bytes=1000, read_seconds=5.0
+)
 
 
 class Connection:
@@ -52,4 +56,25 @@
     for connection in connections:
         table.set_held(connection, 200)
     assert table.is_full
+    assert not table.has_room and not table.make_room()
     assert not any(connection.reasons for connection in connections)
+    connections[0].state = State.IDLE
+    assert table.make_room() and table.has_room
+    assert connections[0].reasons == ['connections']
+
+
+@pytest.mark.parametrize(
+    ('worse', 'better'),
+    [
+        ((State.UNUSED, 1.0), (State.IDLE, 1.0)),
+        ((State.IDLE, 3.0), (State.UNUSED, 0.0)),
+        ((State.RECEIVING, 1.0), (State.IDLE, 1.0)),
+        ((State.IDLE, 0.0), (State.AHEAD, 9.0)),
+    ],
+)
+async def test_newcomers_and_requests_in_service_outlast_others(worse, better):
+    table = connection_table.ConnectionTable(LIMITS)
+    kept = Connection(table, *better)
+    closed = Connection(table, *worse)
+    assert table.make_room()
+    assert closed.reasons and not kept.reasons
