Bound what is read ahead of upstreams, and the requests in flight

100 callers that asked for answers of 1 MB ahead and read none took a daemon of 128 MB to 200 MB: each connection to an upstream read 256 KiB ahead and up to 256 KiB more at once, and the answers that callers do not read yet came on top. Each request in flight may have a connection to an upstream, and kept ones came on top of those; nothing bounded them together. A kept connection remembered 16 identifiers of up to 16 KB.

All connections of a pool read 8 MiB ahead together, 16 KiB at once. Requests in flight are bounded by 0.3 of the sockets; others get 503 (overloaded) as soon as their head is read. A pool beyond as many connections closes those that are longest idle and keeps none. Identifiers are kept as digests. Tried: to refuse connections in the pool. Checks of engines then failed, so that sound engines counted as crashed.

Bodies that are gathered whole are still broken off beyond 16 MiB together, as before.

--- a/corianderspar/platform/__main__.py
+++ b/corianderspar/platform/__main__.py
@@ -20,7 +20,9 @@
 
 async def run(initial: settings.Settings, path: Path) -> None:
     """Run the daemon until a signal stops it."""
-    pool = connections.ConnectionPool()
+    pool = connections.ConnectionPool(
+        initial.router.limits.upstream_connections
+    )
     store_client = platform.HttpStoreClient(
         initial.store_host,
         initial.store_port,
--- a/corianderspar/router/caller_limits.py
+++ b/corianderspar/router/caller_limits.py
@@ -13,6 +13,7 @@
 HELD_SHARE = 0.3
 # Of the sockets; the rest is for peers and the store.
 CALLER_SHARE = 0.4
+UPSTREAM_SHARE = 0.3
 READ_SECONDS = 30.0  # no request lasts longer
 # Of the servers for the load balancer and for metrics.
 STATUS_LIMITS = connection_table.ConnectionLimits(
@@ -44,9 +45,15 @@
     ----------
     callers : ConnectionLimits
         Of the connections of callers.
+    requests : int
+        In flight at a time. Each may have a connection to an upstream.
+    upstream_connections : int
+        Open at a time before those without a request are closed.
     """
 
     callers: connection_table.ConnectionLimits
+    requests: int
+    upstream_connections: int
 
 
 def descriptor_limit() -> int:
@@ -90,4 +97,6 @@
             held_bytes or int(memory_bytes * HELD_SHARE),
             read_seconds or READ_SECONDS,
         ),
+        int(sockets * UPSTREAM_SHARE),
+        int(sockets * UPSTREAM_SHARE),
     )
--- a/corianderspar/router/connections.py
+++ b/corianderspar/router/connections.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import hashlib
 import re
 import socket
 from typing import NamedTuple
@@ -38,6 +39,8 @@
 # it in 7 ms.
 PROGRESS_BYTES = 4096
 READ_AHEAD_BYTES = 256 * 1024  # reading pauses above it
+# Of all connections of a pool; each has an equal share at least.
+MAX_READ_AHEAD_BYTES = 8 * 1024 * 1024
 PARSED_BYTES = 16 * 1024  # at once; bounds the time to parse one head
 EVENTS_PER_TURN = 32  # parsed in a row before other tasks get a turn
 # Least mean size of the pieces of an answer, once there are many. It is that
@@ -49,6 +52,8 @@
 # Of all bodies that are being read whole; an eighth of the smallest daemon.
 MAX_GATHERED_BYTES = 16 * 1024 * 1024
 
+MAX_CONNECTIONS = 8192  # unless a pool sets another
+
 Headers = tuple[tuple[bytes, bytes], ...]
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
@@ -87,6 +92,16 @@
     return UpstreamError(detail, sent=True, is_alive=True)
 
 
+def _digest(echo: tuple[bytes, bytes]) -> bytes:
+    """Return a short form of a header whose value may be long."""
+    name, value = echo
+    return hashlib.blake2b(name + b':' + value, digest_size=16).digest()
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class Request(NamedTuple):
     """A request to an upstream.
 
@@ -118,16 +133,20 @@
 class _Connection(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, read_ahead: Callable[[], int] = lambda: READ_AHEAD_BYTES
+    ) -> None:
+        self._read_ahead = read_ahead
         self.transport: asyncio.Transport | None = None
         self.is_kept = False  # without a request
-        self.recent_echoes: collections.deque[tuple[bytes, bytes]] = (
-            collections.deque(maxlen=RECENT_REQUESTS)
+        self.recent_echoes: collections.deque[bytes] = collections.deque(
+            maxlen=RECENT_REQUESTS
         )
         self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_timeout = IDLE_TIMEOUT_SECONDS
         self.is_lost = False
+        self.on_lost: Callable[[], None] = _ignore
         self._error: Exception | None = None
         self._broken_off: UpstreamError | None = None
         self._is_at_eof = False
@@ -138,6 +157,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.max_size = PARSED_BYTES  # type: ignore[attr-defined]
         self.opened_at = asyncio.get_running_loop().time()
         connected_socket = transport.get_extra_info('socket')
         with contextlib.suppress(OSError):
@@ -154,10 +174,9 @@
             # These bytes belong to no request.
             self.abort()
             return
-        for start in range(0, len(data), PARSED_BYTES):
-            self._received.append(data[start : start + PARSED_BYTES])
+        self._received.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > READ_AHEAD_BYTES:
+        if self._buffered_bytes > self._read_ahead():
             assert self.transport is not None
             self.transport.pause_reading()
         self._state_changed.set()
@@ -169,6 +188,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
+        self.on_lost()
         self._is_at_eof = True
         self._error = self._error or exc
         self._state_changed.set()
@@ -292,7 +312,7 @@
             data += self._parser.send(h11.Data(request.body)) or b''
         data += self._parser.send(h11.EndOfMessage()) or b''
         if request.echo is not None:
-            self._connection.recent_echoes.append(request.echo)
+            self._connection.recent_echoes.append(_digest(request.echo))
         self._connection.write(data)
         for _skipped in range(MAX_SKIPPED_RESPONSES):
             await self._read_head()
@@ -472,14 +492,21 @@
 class ConnectionPool:
     """Pool of kept connections to upstreams.
 
+    Parameters
+    ----------
+    max_connections : int
+        Beyond it, connections without a request are closed.
+
     Attributes
     ----------
     opened : int
         Number of connections opened so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
         self.opened = 0
+        self._max_connections = max_connections
+        self._open_count = 0
         self._kept_by_key: dict[str, list[_Connection]] = {}
         self._gathered_by_response: dict[Response, int] = {}
         self._gathered_bytes = 0
@@ -585,7 +612,10 @@
 
     def _add_kept(self, key: str, connection: _Connection) -> None:
         kept = self._kept_by_key.setdefault(key, [])
-        if len(kept) >= MAX_KEPT_PER_UPSTREAM:
+        if (
+            len(kept) >= MAX_KEPT_PER_UPSTREAM
+            or self._open_count > self._max_connections
+        ):
             connection.abort()
             return
         connection.is_kept = True
@@ -600,12 +630,13 @@
         to a request that a caller sends again under its id.
         """
         kept = self._kept_by_key.get(key, [])
+        digest = _digest(echo) if echo is not None and kept else b''
         now = asyncio.get_running_loop().time()
         for connection in reversed(kept.copy()):
             if not self._is_usable(connection, now):
                 kept.remove(connection)
                 connection.abort()
-            elif echo is None or echo not in connection.recent_echoes:
+            elif echo is None or digest not in connection.recent_echoes:
                 kept.remove(connection)
                 connection.is_kept = False
                 return connection
@@ -619,14 +650,45 @@
         self, host: str, port: int, timeout: float = CONNECT_TIMEOUT_SECONDS
     ) -> _Connection:
         loop = asyncio.get_running_loop()
+        if self._open_count >= self._max_connections:
+            self._close_longest_idle()
+        self._open_count += 1
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    _Connection, host, port
+                    lambda: _Connection(self._read_ahead), host, port
                 )
-        except TimeoutError as error:
-            raise UpstreamError('connect timed out', sent=False) from error
-        except OSError as error:
-            raise UpstreamError(f'connect: {error}', sent=False) from error
+        except BaseException as error:
+            self._open_count -= 1
+            if isinstance(error, TimeoutError):
+                raise UpstreamError('connect timed out', sent=False) from error
+            if isinstance(error, OSError):
+                raise UpstreamError(f'connect: {error}', sent=False) from error
+            raise
+        connection.on_lost = self._count_lost
+        if connection.is_lost:
+            self._open_count -= 1
         self.opened += 1
         return connection
+
+    def _read_ahead(self) -> int:
+        """Return the bytes that a connection may read ahead."""
+        share = MAX_READ_AHEAD_BYTES // max(self._open_count, 1)
+        return min(share, READ_AHEAD_BYTES)
+
+    def _count_lost(self) -> None:
+        self._open_count -= 1
+
+    def _close_longest_idle(self) -> None:
+        kept = [
+            (connection.idle_since, key, connection)
+            for key, connections in self._kept_by_key.items()
+            for connection in connections
+        ]
+        if kept:
+            _since, key, connection = min(kept, key=lambda entry: entry[0])
+            self._kept_by_key[key].remove(connection)
+            connection.abort()
+            # It is closed in the next turn of the event loop.
+            connection.on_lost = _ignore
+            self._open_count -= 1
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -122,6 +122,7 @@
         )
         self._add_gauges()
         self._add_rate_gauges()
+        self._edge.max_running = settings.limits.requests
         self._callers = http_server.HttpServer(
             self._edge,
             settings.callers,
--- a/corianderspar/router/edge.py
+++ b/corianderspar/router/edge.py
@@ -35,6 +35,7 @@
 NOT_READY_RETRY_SECONDS = 1.0  # while the configuration is not verified
 # A denial waits for that long for a state that is new enough.
 CONFIRM_SECONDS = 0.2
+MAX_RUNNING = 8192  # requests, unless the daemon sets another number
 DENIALS = (401, 404)  # final words: callers do not try again after them
 STALENESS_MARGIN_SECONDS = 0.3  # for a clock that runs a little slow
 
@@ -77,6 +78,8 @@
         Requests in flight.
     on_idle : list of callable
         Hooks that are called when the last request in flight ends.
+    max_running : int
+        Requests in flight beyond which others are refused.
     """
 
     name = 'front'
@@ -98,6 +101,7 @@
         self.stopping = False
         self.running = 0
         self.on_idle: list[Callable[[], None]] = []
+        self.max_running = MAX_RUNNING
         self._stopping_since = 0.0
         self._admissions: set[asyncio.Timeout] = set()
         self._contexts_by_task: dict[
@@ -185,6 +189,10 @@
             return
         request = head.ok
         try:
+            if self.running > self.max_running:
+                raise _request_error(
+                    'overloaded', 503, 'too many requests in flight'
+                )
             context = await self._admit_in_time(exchange, request, arrived)
         except request_context.RequestError as error:
             await self._send_error(exchange, request.request_id, error.problem)
