Accept heads up to the operator's limit

A client inside max_header_bytes of the configuration was refused with 400 if that limit was above 32 KiB, as the limit was read and never applied. New connections accept heads of that size and 8 KiB for the request line; 32 KiB at least, as before. The new test fails on the code before (no such call).

--- a/corianderspar/http_server.py
+++ b/corianderspar/http_server.py
@@ -15,6 +15,8 @@
 from corianderspar import http_connections
 
 MAX_HEADER_BYTES = 32 * 1024
+# A stated limit of headers may not count the request line.
+HEAD_MARGIN_BYTES = 8 * 1024
 IDLE_TIMEOUT_SECONDS = 75
 LISTEN_BACKLOG = 1024
 # Of the system, when it can open no more descriptors.
@@ -219,6 +221,7 @@
         self.address = address
         self.idle_timeout = idle_timeout
         self._max_header_bytes = max_header_bytes
+        self._head_bytes = max_header_bytes
         self.table = connection_table.ConnectionTable(limits)
         self._bounds = http_connections.Bounds(
             closing_wait, head_timeout, self.table
@@ -256,7 +259,7 @@
             log_config=None,
             log_level='critical',
             server_header=False,
-            h11_max_incomplete_event_size=self._max_header_bytes,
+            h11_max_incomplete_event_size=self._head_bytes,
             timeout_keep_alive=self.idle_timeout,  # type: ignore[arg-type]
             date_header=False,
             backlog=LISTEN_BACKLOG,
@@ -290,6 +293,14 @@
         """Change the time for heads that begin to arrive from now on."""
         self._bounds.head_timeout = seconds
 
+    def set_max_header_bytes(self, size: int) -> None:
+        """Allow for larger heads on new connections, if it has to be."""
+        self._head_bytes = max(
+            size + HEAD_MARGIN_BYTES, self._max_header_bytes
+        )
+        if self._server is not None:
+            self._config.h11_max_incomplete_event_size = self._head_bytes
+
     async def stop(self) -> None:
         """Accept no connections, finish running requests, then close."""
         if self._server is None or self._task is None:
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -367,6 +367,7 @@
     def _apply_limits(self, configuration: model.Configuration) -> None:
         self._callers.set_idle_timeout(configuration.limits.idle_seconds)
         self._callers.set_head_timeout(configuration.limits.header_seconds)
+        self._callers.set_max_header_bytes(configuration.limits.header_bytes)
 
     def _read_readiness(self) -> tuple[int, bytes]:
         self.app.check_progress()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -231,3 +231,15 @@
         assert head.startswith(b'HTTP/1.1 200')
     writer.close()
     await server.abort()
+
+
+async def test_heads_of_the_stated_size_are_accepted_once_it_is_raised():
+    server = http_server.HttpServer(_answer_at_once, '127.0.0.1:0')
+    await server.start()
+    server.set_max_header_bytes(64 * 1024)
+    host, port = server.address.split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(HEAD + b'x: ' + b'y' * 60_000 + b'\r\n\r\n')
+    assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+    writer.close()
+    await server.abort()
