Bound the connections and messages of the port for peers

Anyone who reaches the port for peers could greet as often as it liked and send messages of any size. Connections that have greeted are bounded by a quarter of the sockets (360 daemons need 720 of 3,900 in the largest fleet we design for), messages by 16 MiB. Strangers that connect and never greet are not seen by the library's hooks; that test stays on the list.

A further case of the tests sends 3,500 fields in a head of 14 KB.

--- a/corianderspar/channel.py
+++ b/corianderspar/channel.py
@@ -14,6 +14,8 @@
 
 MAX_QUEUED_MESSAGES = 64  # per peer; more would be stale on its return
 MAX_RECEIVED_MESSAGES = 512  # one from each peer of a large fleet
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024  # the state of a large fleet takes less
+MAX_CONNECTIONS = 4096  # from peers, unless a channel sets another
 RECEIVE_BATCH_MESSAGES = 32  # before other tasks may run
 
 
@@ -78,6 +80,8 @@
         If given, both sides authenticate with certificates of one CA.
     max_queued_messages : int
         Messages queued for one slow peer before more are dropped.
+    max_connections : int
+        Connections accepted from peers; more are closed.
     """
 
     def __init__(
@@ -85,10 +89,12 @@
         address: str,
         tls: TlsFiles | None = None,
         max_queued_messages: int = MAX_QUEUED_MESSAGES,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._address = address
         self._tls = tls
         self._max_queued_messages = max_queued_messages
+        self._max_connections = max_connections
         self._listener: pynng.Pull0 | None = None
         self._arrived = asyncio.Event()
         self._received = 0
@@ -102,7 +108,11 @@
         pynng.NNGException
             If the address is not available.
         """
-        socket = pynng.Pull0(recv_buffer_size=MAX_RECEIVED_MESSAGES)
+        socket = pynng.Pull0(
+            recv_buffer_size=MAX_RECEIVED_MESSAGES,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        socket.add_pre_pipe_connect_cb(self._limit_connections)
         if self._tls is not None:
             socket.tls_config = self._tls_config(
                 pynng.TLSConfig.MODE_SERVER, self._tls
@@ -113,6 +123,10 @@
             socket.recv_fd, self._arrived.set
         )
 
+    def _limit_connections(self, pipe: pynng.Pipe) -> None:
+        if len(pipe.socket.pipes) >= self._max_connections:
+            pipe.close()
+
     async def close(self) -> None:
         """Close all sockets."""
         for vm in list(self._sockets_by_vm):
--- a/corianderspar/router/caller_limits.py
+++ b/corianderspar/router/caller_limits.py
@@ -14,6 +14,7 @@
 # Of the sockets; the rest is for peers and the store.
 CALLER_SHARE = 0.4
 UPSTREAM_SHARE = 0.3
+PEER_SHARE = 0.25
 READ_SECONDS = 30.0  # no request lasts longer
 # Of the servers for the load balancer and for metrics.
 STATUS_LIMITS = connection_table.ConnectionLimits(
@@ -49,11 +50,14 @@
         In flight at a time. Each may have a connection to an upstream.
     upstream_connections : int
         Open at a time before those without a request are closed.
+    peer_connections : int
+        Accepted from peers.
     """
 
     callers: connection_table.ConnectionLimits
     requests: int
     upstream_connections: int
+    peer_connections: int
 
 
 def descriptor_limit() -> int:
@@ -99,4 +103,5 @@
         ),
         int(sockets * UPSTREAM_SHARE),
         int(sockets * UPSTREAM_SHARE),
+        int(sockets * PEER_SHARE),
     )
--- a/corianderspar/router/daemon.py
+++ b/corianderspar/router/daemon.py
@@ -102,7 +102,10 @@
             settings.identity, clock.SystemClock(), random.Random()
         )
         adapters = assembly.Adapters(
-            channel.NngChannel(settings.peers),
+            channel.NngChannel(
+                settings.peers,
+                max_connections=settings.limits.peer_connections,
+            ),
             platform_adapters.store,
             platform_adapters.calls,
             platform_adapters.caller_format,
--- a/tests/misbehaving/test_callers.py
+++ b/tests/misbehaving/test_callers.py
@@ -152,8 +152,9 @@
         assert len(machine.output) < MAX_LOG_BYTES
 
 
-async def test_requests_in_flight_are_bounded(tmp_path):
-    request = crowd.head('/order/1', LENGTH)
+@pytest.mark.parametrize('lines', ['', 'a:\r\n' * 3500], ids=['', 'fields'])
+async def test_requests_in_flight_are_bounded(tmp_path, lines):
+    request = crowd.head('/order/1', lines + LENGTH)
     async with crowd.Machine(tmp_path) as machine:
         plain = machine.upstreams_by_name['s1']
         plain.work_seconds = 1.0
