--- a/tests/router/test_log_writer.py
+++ b/tests/router/test_log_writer.py
@@ -1,7 +1,7 @@
 """Tests of how many log lines callers may cause."""
 
 from corianderspar import timeline
-from corianderspar.router import log_writer
+from corianderspar.router import log_writer  # noqa: H306
 
 
 def test_lines_on_callers_leave_room_for_others(tmp_path):
