Read no further ahead after a request to switch protocols

The bound holds in all states but those in which a head or body arrives. The case joins the tests; it passes on the code before too, as the bound on all together holds.

--- a/corianderspar/http_connections.py
+++ b/corianderspar/http_connections.py
@@ -237,7 +237,7 @@
         """Whether more may be received now."""
         if self.conn.has_more or self._is_waiting_to_be_read():
             return False
-        if self.conn.their_state is h11.DONE:
+        if self.conn.their_state not in (h11.IDLE, h11.SEND_BODY):
             return self.conn.buffered_bytes < AHEAD_BYTES
         return (
             not self._has_request()
--- a/tests/misbehaving/test_callers.py
+++ b/tests/misbehaving/test_callers.py
@@ -32,6 +32,9 @@
     'many parts': crowd.head(
         '/chat/1', f'x-prompt-prefix: {PARTS}\r\n' + CHAT_LINES
     ),
+    'upgrade': crowd.head(
+        '/order/1', 'connection: upgrade\r\nupgrade: websocket\r\n' + LENGTH
+    ),
     'no request': b'GET /',
 }
 
