Remove an unused iterator and say what two constants are

Read as a newcomer: ConnectionTable was iterated over by nothing, and the comment on the errors of exhausted descriptors stood above a pause. No change of behaviour; the tests of the server and of the table pass.

--- a/corianderspar/connection_table.py
+++ b/corianderspar/connection_table.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Iterator
 import enum
 import heapq
 from typing import NamedTuple
@@ -159,10 +158,6 @@
         """Return the number of connections, with those being set up."""
         return len(self._connections) + self._expected
 
-    def __iter__(self) -> Iterator[Held]:
-        """Iterate over the connections that are set up."""
-        return iter(self._connections)
-
     @property
     def has_room(self) -> bool:
         """Whether one more connection may be accepted."""
--- a/corianderspar/http_server.py
+++ b/corianderspar/http_server.py
@@ -15,12 +15,12 @@
 from corianderspar import http_connections
 
 MAX_HEADER_BYTES = 32 * 1024
+EXHAUSTED_PAUSE_SECONDS = 0.5  # at least, between errors that are logged
 # A stated limit of headers may not count the request line.
 HEAD_MARGIN_BYTES = 8 * 1024
 IDLE_TIMEOUT_SECONDS = 75
 LISTEN_BACKLOG = 1024
-# Of the system, when it can open no more descriptors.
-EXHAUSTED_PAUSE_SECONDS = 0.5
+# Errors of the system when it can open no more descriptors.
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Of the event loop, after the last connection until its transport is made.
 QUIET_TURNS = 3
@@ -294,7 +294,7 @@
         self._bounds.head_timeout = seconds
 
     def set_max_header_bytes(self, size: int) -> None:
-        """Allow for larger heads on new connections, if it has to be."""
+        """Set the largest head on new connections; it is never lowered."""
         self._head_bytes = max(
             size + HEAD_MARGIN_BYTES, self._max_header_bytes
         )
