--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,7 +80,8 @@
     )
     limits = platform.load(path).ok.router.limits
     assert limits.callers == (320, 45_000_000, 30.0)
-    assert (limits.requests, limits.peer_connections) == (240, 200)
+    assert (limits.requests, limits.upstream_connections) == (240, 240)
+    assert limits.peer_connections == 200
     with path.open('a') as file:
         file.write('[callers]\nmax_connections = 10\nmax_held_mb = 2.5\n')
     limits = platform.load(path).ok.router.limits
