--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -37,6 +37,7 @@
     """A daemon process with a fake store and fake upstreams."""
 
     upstream_type = fakes.FakeUpstreamServer
+    further_settings = ''
     upstreams = (
         ('p1', 'llm', 'prefill'),
         ('d1', 'llm', 'decode'),
@@ -72,6 +73,7 @@
                 store=self.store_address,
                 **self.ports,
             )
+            + self.further_settings
         )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
