--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -254,17 +254,22 @@
         self.running = {}
         self._beat = None
 
-    async def start(self):
-        """Start a new incarnation with a new id at the same address."""
-        self.instance = f'i-{next(self.names):04x}'
+    async def start(self, instance='', first_beat=0.0):
+        """Start a new incarnation at the same address.
+
+        It has a new id unless one is given, and writes its entry for the
+        first time after `first_beat` seconds.
+        """
+        self.instance = instance or f'i-{next(self.names):04x}'
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = 'ready'
         await self.listen()
-        self._beat = asyncio.create_task(self._register())
+        self._beat = asyncio.create_task(self._register(first_beat))
 
-    async def _register(self):
-        """Write the entry now and at each beat, in which `seq` rises."""
+    async def _register(self, first_beat=0.0):
+        """Write the entry at each beat, in which `seq` rises."""
+        await asyncio.sleep(first_beat)
         while True:
             self.sequence += 1
             self.store.write(f'servers/{self.instance}', self.entry())
@@ -298,13 +303,21 @@
         self.store.write(f'servers/{self.instance}', None)
         self.close()
 
-    def crash(self, back_after):
-        """Crash; be back after some seconds."""
-        gone, running = self.instance, dict(self.running)
+    def end_at_once(self):
+        """Reset all connections; return what was running."""
+        running = dict(self.running)
         self.running.clear()
         self._beat.cancel()
-        self.record.add('crash', gone, 'breaks off', sorted(running) or '-')
+        self.record.add(
+            'crash', self.instance, 'breaks off', sorted(running) or '-'
+        )
         self.close()
+        return running
+
+    def crash(self, back_after):
+        """Crash; be back under another id after some seconds."""
+        gone = self.instance
+        running = self.end_at_once()
         loop = asyncio.get_running_loop()
         # The store removes an entry after three intervals of silence.
         loop.call_later(
@@ -403,7 +416,7 @@
             await asyncio.sleep(self.event_seconds)
             if self.crashes_at(head, number - first):
                 return
-            event = f'id: {number}\ndata: x{number}\n\n'.encode()
+            event = f'id: {number}\ndata: {self.version} {number}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
         self.running.pop(request_id, None)
@@ -628,6 +641,88 @@
     return request_id, reply
 
 
+class Stream:
+    """What a caller has of a stream: its attempts and events."""
+
+    def __init__(self, target):
+        self.target = target
+        self.attempts = []  # ids
+        self.statuses = []
+        self.events = []  # (number, text)
+        self.is_whole = False
+
+    @property
+    def last(self):
+        return self.events[-1][0] if self.events else 0
+
+
+async def follow(record, daemon, stream, key, headers, deadline_ms):
+    """Make one attempt at a stream, or take it up; keep its events."""
+    request_id = new_id()
+    fields = {
+        'Host': 'shop.example',
+        'X-Request-Id': request_id,
+        'X-Deadline-Ms': str(deadline_ms),
+        'X-Api-Key': key,
+        'Content-Length': '4',
+    } | headers
+    if stream.events:
+        fields['Last-Event-Id'] = str(stream.last)
+        fields['Resumes'] = stream.attempts[0]
+    stream.attempts.append(request_id)
+    stream.statuses.append(0)
+    record.add(
+        'send',
+        daemon.node,
+        'POST',
+        stream.target,
+        request_id,
+        'after',
+        stream.last,
+    )
+    lines = [f'POST {stream.target} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in fields.items()]
+    writer = None
+    try:
+        async with asyncio.timeout(deadline_ms / 1000):
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', daemon.ports['front']
+            )
+            writer.write('\r\n'.join(lines).encode() + b'\r\n\r\ntext')
+            head = Head(await reader.readuntil(b'\r\n\r\n'))
+            stream.statuses[-1] = int(head.first[1])
+            if stream.statuses[-1] == 200:
+                await _read_events(reader, stream)
+                stream.is_whole = True
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
+    record.add(
+        'answer',
+        request_id,
+        stream.statuses[-1],
+        'up to',
+        stream.last,
+        'whole' if stream.is_whole else 'not whole',
+    )
+
+
+async def _read_events(reader, stream):
+    rest = b''
+    while True:
+        size = int((await reader.readuntil(b'\r\n')).split(b';')[0], 16)
+        rest += (await reader.readexactly(size + 2))[:-2]
+        if not size:
+            return
+        *whole, rest = rest.split(b'\n\n')
+        for event in whole:
+            lines = event.decode().splitlines()
+            number = int(lines[0].removeprefix('id: '))
+            stream.events.append((number, lines[1].removeprefix('data: ')))
+
+
 def run(case, folder):
     """Run a case; exit with its result."""
     record = Record()
