--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -731,8 +731,8 @@
         logs = os.environ.get('LOGS')
         try:
             result = asyncio.run(case(record, logs or temporary))
-        except (NotReadyError, FileNotFoundError) as error:
-            record.add('the case could not run:', error)
+        except Exception as error:  # noqa: BLE001 - no rule was judged
+            record.add('the case could not run:', repr(error))
     record.add('exit', result)
     record.write(folder)
     print('\n'.join(record.lines[-6:]))
